Serve flows of packets on the platform

A packet front end of the product (PacketTask, FlowRouter, DirectoryTask) and the adapter in platform/ that translates packets and the store's objects. A tag in each packet names its target, so any balancer finds it without state of the flow.

--- a/src/host/counters.h
+++ b/src/host/counters.h
@@ -38,6 +38,12 @@
     FramesTooLong,
     ProcessPauses,
     ConfigMessages,
+    PacketsForwarded,
+    PacketsDropped,
+    PacketsRefused,
+    FlowsReset,
+    StoreCalls,
+    StoreFailures,
 };
 
 template<>
@@ -68,6 +74,12 @@
         EnumName<Counter>{ Counter::FramesTooLong, "frames_too_long" },
         EnumName<Counter>{ Counter::ProcessPauses, "process_pauses" },
         EnumName<Counter>{ Counter::ConfigMessages, "config_messages" },
+        EnumName<Counter>{ Counter::PacketsForwarded, "packets_forwarded" },
+        EnumName<Counter>{ Counter::PacketsDropped, "packets_dropped" },
+        EnumName<Counter>{ Counter::PacketsRefused, "packets_refused" },
+        EnumName<Counter>{ Counter::FlowsReset, "flows_reset" },
+        EnumName<Counter>{ Counter::StoreCalls, "store_calls" },
+        EnumName<Counter>{ Counter::StoreFailures, "store_failures" },
     };
 };
 
--- /dev/null
+++ b/src/host/directorytask.h
@@ -0,0 +1,74 @@
+#ifndef POPLARROAD_HOST_DIRECTORYTASK_H
+#define POPLARROAD_HOST_DIRECTORYTASK_H
+
+#include "counters.h"
+#include "link/directorysource.h"
+#include "mailbox.h"
+#include "packettask.h"
+#include "pausedetector.h"
+#include "service/directoryfeed.h"
+#include "service/targetreplica.h"
+#include "taskmessages.h"
+#include "taskthread.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace poplarroad
+{
+
+/** Messages to the task that owns the directory and the connection to the store. */
+using DirectoryTaskMessage = std::variant<StopTask>;
+
+/** Owns the connection to the store and what this balancer knows of services and targets. */
+class DirectoryTask
+{
+public:
+    using SourceFactory = std::function<std::unique_ptr<DirectorySource>(EventLoop &)>;
+
+    /** What the task tells; called in its thread and only posts. */
+    struct Receivers
+    {
+        std::function<void(PacketTaskMessage)> toPackets;
+        std::function<void()> ready; ///< services and targets are known; called once
+    };
+
+    DirectoryTask(const SourceFactory &makeSource, Receivers receivers, CounterSet &counters);
+
+    void start();
+    /** Callable from any thread. */
+    void post(DirectoryTaskMessage message);
+    void join();
+
+private:
+    void handle(DirectoryTaskMessage &&message);
+    void advance();
+    void call(DirectoryPart part, const DirectoryFeed::Due &due);
+    void onAnswer(DirectoryPart part, std::uint64_t number, DirectoryAnswer answer);
+    void takeServices(const ServiceMapPtr &services);
+    void takeTargets(const TargetUpdate &update);
+    void publish(const TargetUpdate &news);
+    void onPaused();
+    DirectoryFeed &feed(DirectoryPart part)
+    {
+        return feeds_[static_cast<std::size_t>(part)];
+    }
+
+    Receivers receivers_;
+    CounterSet &counters_;
+    EventLoop loop_;
+    std::unique_ptr<DirectorySource> source_;
+    std::array<DirectoryFeed, EnumNames<DirectoryPart>::table.size()> feeds_;
+    ServiceMapPtr services_;
+    TargetReplica targets_;
+    bool ready_ = false;
+    LoopTimer timer_;
+    PauseDetector pauses_;
+    Mailbox<DirectoryTaskMessage> mailbox_;
+    TaskThread thread_;
+};
+
+} // namespace poplarroad
+
+#endif
--- a/src/host/main.cpp
+++ b/src/host/main.cpp
@@ -1,50 +1,15 @@
 #include "host/daemon.h"
-#include "host/flagnames.h"
+#include "host/daemonmain.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/logger.h>
 
-#include <csignal>
 #include <iostream>
 
 ABSL_FLAG(std::string, settings, "", "INI file with the daemon's settings");
 ABSL_FLAG(bool, check_config, false, "check the settings and exit");
 
-namespace
-{
-
-log4cxx::LevelPtr log4cxxLevel(poplarroad::LogLevel level)
-{
-    switch (level) {
-    case poplarroad::LogLevel::Debug:
-        return log4cxx::Level::getDebug();
-    case poplarroad::LogLevel::Info:
-        return log4cxx::Level::getInfo();
-    case poplarroad::LogLevel::Warning:
-        return log4cxx::Level::getWarn();
-    case poplarroad::LogLevel::Error:
-        break;
-    }
-    return log4cxx::Level::getError();
-}
-
-/** Blocks the signals that stop the daemon, before any thread starts, so that only waitForStop() takes them. */
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
-} // namespace
-
 int main(int argc, char **argv)
 {
     poplarroad::acceptDashes(argc, argv);
@@ -60,15 +25,13 @@
         std::cout << absl::GetFlag(FLAGS_settings) << ": ok\n";
         return 0;
     }
-    log4cxx::BasicConfigurator::configure();
-    log4cxx::Logger::getRootLogger()->setLevel(log4cxxLevel(settings->logLevel));
-    const sigset_t signals = blockStopSignals();
+    poplarroad::startLogging(settings->logLevel);
+    const sigset_t signals = poplarroad::blockStopSignals();
     poplarroad::Daemon daemon(*settings);
     if (!daemon.start()) {
         return 1;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
+    poplarroad::waitForStop(signals);
     daemon.leave();
     return 0;
 }
--- /dev/null
+++ b/src/host/packethost.h
@@ -0,0 +1,45 @@
+#ifndef POPLARROAD_HOST_PACKETHOST_H
+#define POPLARROAD_HOST_PACKETHOST_H
+
+#include "directorytask.h"
+#include "metricstask.h"
+#include "packettask.h"
+#include "settings.h"
+
+#include <atomic>
+#include <memory>
+
+namespace poplarroad
+{
+
+/** The balancer of one machine for flows of packets: its tasks and how they start and end. */
+class PacketHost
+{
+public:
+    PacketHost(const Settings &settings, std::unique_ptr<PacketCodec> codec,
+               const DirectoryTask::SourceFactory &makeSource);
+    ~PacketHost();
+    PacketHost(const PacketHost &) = delete;
+    PacketHost &operator=(const PacketHost &) = delete;
+
+    /** @return whether every address could be bound and every task runs; the log tells why not */
+    bool start();
+    /** Stops gracefully: out of rotation, then packets go on until the routers use other balancers. */
+    void leave();
+
+private:
+    void stop();
+
+    Settings settings_;
+    CounterSet packetCounters_;
+    CounterSet directoryCounters_;
+    std::atomic<bool> ready_ = false;
+    PacketTask packets_;
+    DirectoryTask directory_;
+    MetricsTask metrics_;
+    bool running_ = false;
+};
+
+} // namespace poplarroad
+
+#endif
--- /dev/null
+++ b/src/host/packettask.h
@@ -0,0 +1,62 @@
+#ifndef POPLARROAD_HOST_PACKETTASK_H
+#define POPLARROAD_HOST_PACKETTASK_H
+
+#include "counters.h"
+#include "link/datagramsocket.h"
+#include "link/packetcodec.h"
+#include "mailbox.h"
+#include "service/flowrouter.h"
+#include "service/targetreplica.h"
+#include "settings.h"
+#include "taskmessages.h"
+#include "taskthread.h"
+
+#include <memory>
+
+namespace poplarroad
+{
+
+/** New routes are in force. */
+struct ServicesInForce
+{
+    ServiceMapPtr services;
+};
+
+/** Messages to the task that owns the callers' packets. */
+using PacketTaskMessage = std::variant<ServicesInForce, TargetUpdate, StopTask>;
+
+/** Owns the socket for the packets of callers, and the routing of flows. */
+class PacketTask
+{
+public:
+    PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec, CounterSet &counters);
+
+    bool bound() const
+    {
+        return socket_.bound();
+    }
+    void start();
+    /** Callable from any thread. */
+    void post(PacketTaskMessage message);
+    void join();
+
+private:
+    void handle(PacketTaskMessage &&message);
+    void onDatagram(std::string_view datagram);
+    void reset(const ResetFlow &reset);
+    void onTimer();
+
+    std::uint16_t callerPort_; ///< callers take packets at the port that this balancer takes theirs
+    std::unique_ptr<PacketCodec> codec_;
+    CounterSet &counters_;
+    EventLoop loop_;
+    FlowRouter router_;
+    DatagramSocket socket_;
+    LoopTimer timer_;
+    Mailbox<PacketTaskMessage> mailbox_;
+    TaskThread thread_;
+};
+
+} // namespace poplarroad
+
+#endif
--- a/src/host/settings.cpp
+++ b/src/host/settings.cpp
@@ -14,12 +14,19 @@
 
 using Take = bool (*)(Settings &, const std::string &value);
 
+/** Which daemons a key is required for. */
+enum class Need : std::uint8_t {
+    Optional,
+    Requests, ///< by the frontend for requests
+    Always,
+};
+
 /** One key of the file. */
 struct KeyRow
 {
     std::string_view section;
     std::string_view key;
-    bool required;
+    Need need;
     Take take; ///< false when the value is refused
     std::string_view accepted;
 };
@@ -60,7 +67,7 @@
         }
         settings.seeds.push_back(*address);
     }
-    return !settings.seeds.empty();
+    return true;
 }
 
 std::optional<std::uint8_t> parseByte(std::string_view text, int base)
@@ -106,41 +113,59 @@
 constexpr std::string_view aKey = "a number from 0 to 255 that no other key has, a colon, and 64 hexadecimal digits";
 
 constexpr std::array keyRows{
-    KeyRow{ "host", "zone", true,
+    KeyRow{ "host", "frontend", Need::Optional,
+            [](Settings &settings, const std::string &value) {
+                const auto frontend = enumFrom<Frontend>(value);
+                settings.frontend = frontend.value_or(Frontend::Requests);
+                return frontend.has_value();
+            },
+            "requests or packets" },
+    KeyRow{ "host", "zone", Need::Always,
             [](Settings &settings, const std::string &value) {
                 settings.zone = value;
                 return !value.empty();
             },
             "the name of an availability zone" },
-    KeyRow{ "host", "callers", true, addressTo<&Settings::callers>, anAddress },
-    KeyRow{ "host", "peers", true, addressTo<&Settings::peers>, anAddress },
-    KeyRow{ "host", "operator", true, addressTo<&Settings::operators>, anAddress },
-    KeyRow{ "host", "metrics", true, addressTo<&Settings::metrics>, anAddress },
-    KeyRow{ "host", "seeds", false, takeSeeds, "addresses of balancers, a.b.c.d:port, with commas between them" },
-    KeyRow{ "host", "leave-timeout-ms", false,
+    KeyRow{ "host", "callers", Need::Always, addressTo<&Settings::callers>, anAddress },
+    KeyRow{ "host", "peers", Need::Always, addressTo<&Settings::peers>, anAddress },
+    KeyRow{ "host", "operator", Need::Requests, addressTo<&Settings::operators>, anAddress },
+    KeyRow{ "host", "metrics", Need::Always, addressTo<&Settings::metrics>, anAddress },
+    KeyRow{ "host", "seeds", Need::Optional, takeSeeds, "addresses of balancers, a.b.c.d:port, with commas between them" },
+    KeyRow{ "host", "leave-timeout-ms", Need::Optional,
             [](Settings &settings, const std::string &value) {
                 return takeMilliseconds(settings.leaveTimeout, value, 3'600'000);
             },
             "milliseconds from 1 to 3600000" },
-    KeyRow{ "host", "connect-timeout-ms", false,
+    KeyRow{ "host", "connect-timeout-ms", Need::Optional,
             [](Settings &settings, const std::string &value) {
                 return takeMilliseconds(settings.connectTimeout, value, 60'000);
             },
             "milliseconds from 1 to 60000" },
-    KeyRow{ "platform", "address", true, addressTo<&Settings::platform>, anAddress },
-    KeyRow{ "keys", "current", true, takeKey, aKey },
-    KeyRow{ "keys", "next", false, takeKey, aKey },
-    KeyRow{ "keys", "previous", false, takeKey, aKey },
-    KeyRow{ "trace", "file", false,
+    KeyRow{ "host", "readiness-path", Need::Optional,
+            [](Settings &settings, const std::string &value) {
+                settings.readinessPath = value;
+                return value.starts_with('/');
+            },
+            "a path that begins with /" },
+    KeyRow{ "host", "drain-time-ms", Need::Optional,
+            [](Settings &settings, const std::string &value) {
+                return takeMilliseconds(settings.drainTime, value, 60'000);
+            },
+            "milliseconds from 1 to 60000" },
+    KeyRow{ "platform", "address", Need::Always, addressTo<&Settings::platform>, anAddress },
+    KeyRow{ "keys", "current", Need::Requests, takeKey, aKey },
+    KeyRow{ "keys", "next", Need::Optional, takeKey, aKey },
+    KeyRow{ "keys", "previous", Need::Optional, takeKey, aKey },
+    KeyRow{ "trace", "file", Need::Optional,
             [](Settings &settings, const std::string &value) {
                 settings.traceFile = value;
                 return !value.empty();
             },
             "a path" },
-    KeyRow{ "trace", "sample", false,
+    KeyRow{ "trace", "sample", Need::Optional,
             [](Settings &settings, const std::string &value) { return takeFraction(settings.traceSample, value); },
             "a number from 0 to 1" },
-    KeyRow{ "log", "level", false,
+    KeyRow{ "log", "level", Need::Optional,
             [](Settings &settings, const std::string &value) {
                 const auto level = enumFrom<LogLevel>(value);
                 settings.logLevel = level.value_or(LogLevel::Info);
@@ -213,14 +238,20 @@
 
 bool SettingsLoader::complete()
 {
+    const auto needed = [&](const KeyRow &row) {
+        return row.need == Need::Always || (row.need == Need::Requests && settings_.frontend == Frontend::Requests);
+    };
     for (const KeyRow &row : keyRows) {
         const std::string name = std::string(row.section) + "." + std::string(row.key);
-        if (row.required && std::find(seen_.begin(), seen_.end(), name) == seen_.end()) {
+        if (needed(row) && std::find(seen_.begin(), seen_.end(), name) == seen_.end()) {
             return refuse(SettingsError::MissingKey,
                           "section [" + std::string(row.section) + "], key '" + std::string(row.key)
                               + "' is missing; accepted is " + std::string(row.accepted));
         }
     }
+    if (settings_.keys.empty()) {
+        return true;
+    }
     // The order in the file does not matter: the current key signs.
     const auto isCurrent = [&](const std::string &name) { return name == "keys.current"; };
     std::vector<std::string> keyNames;
--- a/src/host/settings.h
+++ b/src/host/settings.h
@@ -32,11 +32,27 @@
     };
 };
 
+/** What callers speak to a daemon. */
+enum class Frontend : std::uint8_t {
+    Requests, ///< requests in Cap'n Proto
+    Packets, ///< packets of flows that only callers and targets can read
+};
+
+template<>
+struct EnumNames<Frontend>
+{
+    static constexpr std::array table{
+        EnumName<Frontend>{ Frontend::Requests, "requests" },
+        EnumName<Frontend>{ Frontend::Packets, "packets" },
+    };
+};
+
 /** Settings of one daemon, all of them checked. */
 struct Settings
 {
+    Frontend frontend = Frontend::Requests;
     std::string zone;
-    HostAddress callers; ///< UDP and TCP
+    HostAddress callers; ///< UDP and TCP; packets: UDP only
     HostAddress peers; ///< UDP and TCP
     HostAddress operators; ///< Cap'n Proto RPC
     HostAddress metrics; ///< HTTP
@@ -48,6 +64,8 @@
     LogLevel logLevel = LogLevel::Info;
     Milliseconds leaveTimeout{ 30000 }; ///< for requests in progress at a graceful stop
     Milliseconds connectTimeout{ 1000 }; ///< to targets and balancers
+    std::string readinessPath; ///< packets: answered with 200 at the metrics address while the daemon takes new work
+    Milliseconds drainTime{ 2500 }; ///< packets: from the stop signal to the end
 };
 
 /** Why settings were refused. */
--- a/src/link/datagramsocket.cpp
+++ b/src/link/datagramsocket.cpp
@@ -64,15 +64,29 @@
     close(socket_);
 }
 
-void DatagramSocket::send(const HostAddress &to, std::string datagram)
+DatagramSocket::Outgoing &DatagramSocket::queue(const HostAddress &to)
 {
-    if (outgoing_.empty()) {
-        event_active(flush_.get(), EV_TIMEOUT, 0);
-    }
-    outgoing_.push_back({ to, std::move(datagram) });
     if (outgoing_.size() >= batchSize) {
         flush();
     }
+    if (outgoing_.empty()) {
+        event_active(flush_.get(), EV_TIMEOUT, 0);
+    }
+    Outgoing &outgoing = outgoing_.emplace_back();
+    outgoing.to = to;
+    return outgoing;
+}
+
+void DatagramSocket::send(const HostAddress &to, std::string datagram)
+{
+    queue(to).datagram = std::move(datagram);
+}
+
+void DatagramSocket::forward(const HostAddress &to, std::string_view head, std::string_view body)
+{
+    Outgoing &outgoing = queue(to);
+    outgoing.headSize = head.copy(outgoing.head.data(), HeadCapacity);
+    outgoing.body = body;
 }
 
 void DatagramSocket::onReadable(evutil_socket_t /*socket*/, short /*what*/, void *self)
@@ -94,6 +108,8 @@
         onDatagram_(fromSocketAddress(batch_->addresses[index]),
                     { batch_->buffers[index].data(), batch_->headers[index].msg_len });
     }
+    // Forwarded datagrams point into the buffers of this batch.
+    flush();
 }
 
 void DatagramSocket::flush()
@@ -109,16 +125,19 @@
 {
     const std::size_t count = std::min(batchSize, outgoing_.size() - first);
     std::array<sockaddr_in, batchSize> addresses{};
-    std::array<iovec, batchSize> vectors{};
+    std::array<std::array<iovec, 2>, batchSize> vectors{};
     std::array<mmsghdr, batchSize> headers{};
     for (std::size_t i = 0; i < count; ++i) {
         Outgoing &outgoing = outgoing_[first + i];
         addresses[i] = toSocketAddress(outgoing.to);
-        vectors[i] = { outgoing.datagram.data(), outgoing.datagram.size() };
+        const bool whole = outgoing.headSize == 0;
+        vectors[i][0] = whole ? iovec{ outgoing.datagram.data(), outgoing.datagram.size() }
+                              : iovec{ outgoing.head.data(), outgoing.headSize };
+        vectors[i][1] = { const_cast<char *>(outgoing.body.data()), outgoing.body.size() };
         headers[i].msg_hdr.msg_name = &addresses[i];
         headers[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
-        headers[i].msg_hdr.msg_iov = &vectors[i];
-        headers[i].msg_hdr.msg_iovlen = 1;
+        headers[i].msg_hdr.msg_iov = vectors[i].data();
+        headers[i].msg_hdr.msg_iovlen = whole ? 1 : 2;
     }
     const int sent = sendmmsg(socket_, headers.data(), static_cast<unsigned>(count), MSG_DONTWAIT);
     if (sent > 0) {
--- a/src/link/datagramsocket.h
+++ b/src/link/datagramsocket.h
@@ -4,6 +4,7 @@
 #include "host/eventloop.h"
 #include "poplarroad/host.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -44,6 +45,13 @@
         return bound_;
     }
     void send(const HostAddress &to, std::string datagram) override;
+    /**
+     * Queues a datagram of two parts without copying the second one.
+     *
+     * @param head at most HeadCapacity bytes
+     * @param body part of the datagram that the handler was called with; only valid inside the handler
+     */
+    void forward(const HostAddress &to, std::string_view head, std::string_view body);
     /** Reads again after stopReading(). */
     void startReading()
     {
@@ -60,17 +68,23 @@
         return dropped_;
     }
 
+    static constexpr std::size_t HeadCapacity = 64;
+
 private:
     struct Outgoing
     {
         HostAddress to;
-        std::string datagram;
+        std::string datagram; ///< empty when forwarded
+        std::array<char, HeadCapacity> head;
+        std::size_t headSize = 0;
+        std::string_view body;
     };
     struct Batch;
 
     static void onReadable(evutil_socket_t, short, void *self);
     static void onFlush(evutil_socket_t, short, void *self);
     void receive();
+    Outgoing &queue(const HostAddress &to);
     void flush();
     std::size_t sendBatch(std::size_t first);
 
--- /dev/null
+++ b/src/link/httpcaller.cpp
@@ -0,0 +1,128 @@
+#include "link/httpcaller.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+
+namespace poplarroad
+{
+
+namespace
+{
+
+struct ConnectionDeleter
+{
+    void operator()(evhttp_connection *connection) const
+    {
+        evhttp_connection_free(connection);
+    }
+};
+
+} // namespace
+
+struct HttpCaller::Exchange
+{
+    Exchange(HttpCaller &owner, Callback onAnswer)
+        : caller(&owner)
+        , callback(std::move(onAnswer))
+        , deadline(owner.loop_, [this] {
+            // libevent restarts its timeout with each part of an exchange; this one bounds the whole call.
+            ended = true;
+            caller->finish(this, { HttpFailure::AnswerLost, 0, {}, {} });
+        })
+    {
+    }
+
+    HttpCaller *caller;
+    Callback callback;
+    std::unique_ptr<evhttp_connection, ConnectionDeleter> connection;
+    bool failedAfterConnect = false;
+    bool ended = false;
+    LoopTimer deadline;
+};
+
+HttpCaller::HttpCaller(EventLoop &loop, const HostAddress &server)
+    : loop_(loop)
+    , server_(server)
+    , cleanup_(loop, [this] { ended_.clear(); })
+{
+}
+
+HttpCaller::~HttpCaller()
+{
+    for (const auto &exchange : exchanges_) {
+        exchange->ended = true;
+    }
+}
+
+void HttpCaller::send(const HttpCall &call, Callback callback)
+{
+    const std::string endpoint = toString(server_);
+    const std::string host = endpoint.substr(0, endpoint.find(':'));
+    auto exchange = std::make_unique<Exchange>(*this, std::move(callback));
+    exchange->connection.reset(evhttp_connection_base_new(loop_.base(), nullptr, host.c_str(), server_.port));
+    const timeval limit{ call.timeout.count() / 1000, (call.timeout.count() % 1000) * 1000 };
+    evhttp_connection_set_timeout_tv(exchange->connection.get(), &limit);
+
+    evhttp_request *request = evhttp_request_new(&HttpCaller::onAnswer, exchange.get());
+    evhttp_request_set_error_cb(request, [](evhttp_request_error, void *argument) {
+        static_cast<Exchange *>(argument)->failedAfterConnect = true;
+    });
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", endpoint.c_str());
+    evhttp_add_header(headers, "Connection", "close");
+    if (call.condition) {
+        evhttp_add_header(headers, call.condition->first, call.condition->second.c_str());
+    }
+    if (!call.body.empty()) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
+    }
+    evhttp_connection *connection = exchange->connection.get();
+    exchange->deadline.armAfter(call.timeout);
+    exchanges_.push_back(std::move(exchange));
+    evhttp_make_request(connection, request, static_cast<evhttp_cmd_type>(call.method), call.path.c_str());
+}
+
+void HttpCaller::onAnswer(evhttp_request *request, void *exchange)
+{
+    auto *answered = static_cast<Exchange *>(exchange);
+    if (answered->ended) {
+        return;
+    }
+    answered->ended = true;
+    // libevent passes a request without a status when no connection was made, and none when the connection broke.
+    if (request && evhttp_request_get_response_code(request) != 0) {
+        answered->caller->finish(answered, readAnswer(request));
+        return;
+    }
+    const bool sent = !request || answered->failedAfterConnect;
+    answered->caller->finish(answered, { sent ? HttpFailure::AnswerLost : HttpFailure::Unreachable, 0, {}, {} });
+}
+
+HttpAnswer HttpCaller::readAnswer(evhttp_request *request)
+{
+    HttpAnswer answer;
+    answer.status = evhttp_request_get_response_code(request);
+    evbuffer *buffer = evhttp_request_get_input_buffer(request);
+    answer.body.resize(evbuffer_get_length(buffer));
+    evbuffer_remove(buffer, answer.body.data(), answer.body.size());
+    const char *tag = evhttp_find_header(evhttp_request_get_input_headers(request), "ETag");
+    answer.entityTag = tag ? tag : "";
+    return answer;
+}
+
+void HttpCaller::finish(Exchange *exchange, HttpAnswer answer)
+{
+    const auto found = std::find_if(exchanges_.begin(), exchanges_.end(),
+                                    [&](const auto &candidate) { return candidate.get() == exchange; });
+    (*found)->deadline.armAt(TimePoint::max());
+    ended_.push_back(std::move(*found));
+    exchanges_.erase(found);
+    cleanup_.armAfter(Microseconds(0));
+    exchange->callback(std::move(answer));
+}
+
+} // namespace poplarroad
--- /dev/null
+++ b/src/link/httpcaller.h
@@ -0,0 +1,76 @@
+#ifndef POPLARROAD_LINK_HTTPCALLER_H
+#define POPLARROAD_LINK_HTTPCALLER_H
+
+#include "host/eventloop.h"
+#include "poplarroad/host.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+struct evhttp_request;
+
+namespace poplarroad
+{
+
+/** How an HTTP call failed before there was an answer. */
+enum class HttpFailure : std::uint8_t {
+    Unreachable, ///< no connection, so nothing was sent
+    AnswerLost, ///< the connection broke or the time ran out after the request was sent
+};
+
+/** Answer to one HTTP call. */
+struct HttpAnswer
+{
+    std::optional<HttpFailure> failure;
+    int status = 0;
+    std::string body;
+    std::string entityTag; ///< of the answer's ETag header; empty without one
+};
+
+/** One HTTP call. */
+struct HttpCall
+{
+    using Header = std::pair<const char *, std::string>;
+
+    int method = 0; ///< an evhttp_cmd_type
+    std::string path; ///< with the query
+    std::optional<Header> condition;
+    std::string body; ///< JSON; empty for none
+    Milliseconds timeout{ 1000 };
+};
+
+/** Sends HTTP calls to one server, each on a connection of its own, so that a slow answer delays no other call. */
+class HttpCaller
+{
+public:
+    using Callback = std::function<void(HttpAnswer)>;
+
+    HttpCaller(EventLoop &loop, const HostAddress &server);
+    ~HttpCaller();
+    HttpCaller(const HttpCaller &) = delete;
+    HttpCaller &operator=(const HttpCaller &) = delete;
+
+    /** Returns at once; the callback is called later in the loop's thread, exactly once. */
+    void send(const HttpCall &call, Callback callback);
+
+private:
+    struct Exchange;
+
+    static void onAnswer(evhttp_request *request, void *exchange);
+    static HttpAnswer readAnswer(evhttp_request *request);
+    void finish(Exchange *exchange, HttpAnswer answer);
+
+    EventLoop &loop_;
+    HostAddress server_;
+    std::vector<std::unique_ptr<Exchange>> exchanges_;
+    std::vector<std::unique_ptr<Exchange>> ended_; ///< freed outside of their callbacks
+    LoopTimer cleanup_;
+};
+
+} // namespace poplarroad
+
+#endif
--- a/src/link/platformclient.cpp
+++ b/src/link/platformclient.cpp
@@ -1,14 +1,10 @@
 #include "platformclient.h"
 
-#include <event2/buffer.h>
 #include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <charconv>
 #include <cstdlib>
-#include <cstring>
 #include <stdexcept>
 
 namespace poplarroad
@@ -21,14 +17,6 @@
 constexpr int HttpPreconditionFailed = 412;
 constexpr int HttpTooManyRequests = 429;
 
-struct ConnectionDeleter
-{
-    void operator()(evhttp_connection *connection) const
-    {
-        evhttp_connection_free(connection);
-    }
-};
-
 std::string encodeParameter(const std::string &text)
 {
     const std::unique_ptr<char, decltype(&std::free)> encoded(evhttp_encode_uri(text.c_str()), &std::free);
@@ -40,11 +28,11 @@
     return "/v1/objects/" + key;
 }
 
-StoreVersion versionFrom(const char *tag)
+StoreVersion versionFrom(std::string_view tag)
 {
     StoreVersion version = 0;
-    if (tag && *tag == '"') {
-        std::from_chars(tag + 1, tag + std::strlen(tag), version);
+    if (tag.starts_with('"')) {
+        std::from_chars(tag.data() + 1, tag.data() + tag.size(), version);
     }
     return version;
 }
@@ -109,90 +97,27 @@
 
 } // namespace
 
-/** One request with its own connection, so that a slow answer delays no other call. */
-struct PlatformClient::Exchange
-{
-    PlatformClient *client = nullptr;
-    std::function<void(Answer)> callback;
-    std::unique_ptr<evhttp_connection, ConnectionDeleter> connection;
-    bool failedAfterConnect = false;
-};
-
 PlatformClient::PlatformClient(EventLoop &loop, HostAddress platform, PlatformTiming timing)
-    : loop_(loop)
-    , platform_(platform)
-    , timing_(timing)
-    , cleanup_(loop, [this] { ended_.clear(); })
+    : timing_(timing)
+    , caller_(loop, platform)
 {
 }
 
-PlatformClient::~PlatformClient() = default;
-
-void PlatformClient::send(int method, const std::string &path, const std::optional<Header> &condition,
+void PlatformClient::send(int method, const std::string &path, const std::optional<HttpCall::Header> &condition,
                           const std::string &body, Milliseconds timeout, std::function<void(Answer)> callback)
 {
-    const std::string endpoint = toString(platform_);
-    const std::string host = endpoint.substr(0, endpoint.find(':'));
-    auto exchange = std::make_unique<Exchange>();
-    exchange->client = this;
-    exchange->callback = std::move(callback);
-    exchange->connection.reset(evhttp_connection_base_new(loop_.base(), nullptr, host.c_str(), platform_.port));
-    const timeval limit{ timeout.count() / 1000, (timeout.count() % 1000) * 1000 };
-    evhttp_connection_set_timeout_tv(exchange->connection.get(), &limit);
-
-    evhttp_request *request = evhttp_request_new(&PlatformClient::onAnswer, exchange.get());
-    evhttp_request_set_error_cb(request, [](evhttp_request_error, void *argument) {
-        static_cast<Exchange *>(argument)->failedAfterConnect = true;
+    caller_.send({ method, path, condition, body, timeout }, [this, callback = std::move(callback)](HttpAnswer answer) {
+        Answer result;
+        if (answer.failure) {
+            result.error =
+                *answer.failure == HttpFailure::AnswerLost ? StoreError::AnswerLost : StoreError::Unreachable;
+        }
+        result.status = answer.status;
+        result.body = std::move(answer.body);
+        result.version = versionFrom(answer.entityTag);
+        reachable_ = !result.error && errorFor(result.status, StoreError::Refused) != StoreError::Busy;
+        callback(std::move(result));
     });
-    evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", endpoint.c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    if (condition) {
-        evhttp_add_header(headers, condition->first, condition->second.c_str());
-    }
-    if (!body.empty()) {
-        evhttp_add_header(headers, "Content-Type", "application/json");
-        evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
-    }
-    evhttp_connection *connection = exchange->connection.get();
-    exchanges_.push_back(std::move(exchange));
-    evhttp_make_request(connection, request, static_cast<evhttp_cmd_type>(method), path.c_str());
-}
-
-void PlatformClient::onAnswer(evhttp_request *request, void *exchange)
-{
-    auto *ended = static_cast<Exchange *>(exchange);
-    ended->client->finish(ended, request);
-}
-
-PlatformClient::Answer PlatformClient::readAnswer(evhttp_request *request)
-{
-    Answer answer;
-    answer.status = evhttp_request_get_response_code(request);
-    evbuffer *buffer = evhttp_request_get_input_buffer(request);
-    answer.body.resize(evbuffer_get_length(buffer));
-    evbuffer_remove(buffer, answer.body.data(), answer.body.size());
-    answer.version = versionFrom(evhttp_find_header(evhttp_request_get_input_headers(request), "ETag"));
-    return answer;
-}
-
-void PlatformClient::finish(Exchange *exchange, evhttp_request *request)
-{
-    Answer answer;
-    // libevent passes a request without a status when no connection was made, and none when the connection broke.
-    if (request && evhttp_request_get_response_code(request) != 0) {
-        answer = readAnswer(request);
-    } else {
-        const bool sent = !request || exchange->failedAfterConnect;
-        answer.error = sent ? StoreError::AnswerLost : StoreError::Unreachable;
-    }
-    reachable_ = !answer.error && errorFor(answer.status, StoreError::Refused) != StoreError::Busy;
-    const auto found = std::find_if(exchanges_.begin(), exchanges_.end(),
-                                    [&](const auto &candidate) { return candidate.get() == exchange; });
-    ended_.push_back(std::move(*found));
-    exchanges_.erase(found);
-    cleanup_.armAfter(Microseconds(0));
-    exchange->callback(std::move(answer));
 }
 
 void PlatformClient::get(const std::string &key, ReadCallback callback)
@@ -206,7 +131,7 @@
 
 void PlatformClient::create(const std::string &key, const std::string &value, WriteCallback callback)
 {
-    send(EVHTTP_REQ_PUT, objectPath(key), Header{ "If-None-Match", "*" }, value, timing_.call,
+    send(EVHTTP_REQ_PUT, objectPath(key), HttpCall::Header{ "If-None-Match", "*" }, value, timing_.call,
          [callback = std::move(callback)](const Answer &answer) {
              callback({ answer.error ? answer.error : errorFor(answer.status, StoreError::Exists), answer.version });
          });
@@ -214,7 +139,7 @@
 
 void PlatformClient::put(const std::string &key, const std::string &value, StoreVersion version, WriteCallback callback)
 {
-    send(EVHTTP_REQ_PUT, objectPath(key), Header{ "If-Match", '"' + std::to_string(version) + '"' }, value,
+    send(EVHTTP_REQ_PUT, objectPath(key), HttpCall::Header{ "If-Match", '"' + std::to_string(version) + '"' }, value,
          timing_.call, [callback = std::move(callback)](const Answer &answer) {
              const auto error = answer.error ? answer.error : errorFor(answer.status, StoreError::VersionChanged);
              callback({ error, answer.version });
--- a/src/link/platformclient.h
+++ b/src/link/platformclient.h
@@ -1,20 +1,17 @@
 #ifndef POPLARROAD_LINK_PLATFORMCLIENT_H
 #define POPLARROAD_LINK_PLATFORMCLIENT_H
 
+#include "httpcaller.h"
 #include "objectstore.h"
 
 #include "host/eventloop.h"
 #include "poplarroad/host.h"
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
-struct evhttp_request;
-
 namespace poplarroad
 {
 
@@ -38,7 +35,6 @@
 {
 public:
     PlatformClient(EventLoop &loop, HostAddress platform, PlatformTiming timing = {});
-    ~PlatformClient() override;
     PlatformClient(const PlatformClient &) = delete;
     PlatformClient &operator=(const PlatformClient &) = delete;
 
@@ -64,22 +60,13 @@
         std::string body;
         StoreVersion version = 0;
     };
-    struct Exchange;
-    using Header = std::pair<const char *, std::string>;
 
-    void send(int method, const std::string &path, const std::optional<Header> &condition, const std::string &body,
-              Milliseconds timeout, std::function<void(Answer)> callback);
-    void finish(Exchange *exchange, evhttp_request *request);
-    static void onAnswer(evhttp_request *request, void *exchange);
-    static Answer readAnswer(evhttp_request *request);
+    void send(int method, const std::string &path, const std::optional<HttpCall::Header> &condition,
+              const std::string &body, Milliseconds timeout, std::function<void(Answer)> callback);
 
-    EventLoop &loop_;
-    HostAddress platform_;
     PlatformTiming timing_;
     bool reachable_ = false;
-    std::vector<std::unique_ptr<Exchange>> exchanges_;
-    std::vector<std::unique_ptr<Exchange>> ended_; ///< freed outside of their callbacks
-    LoopTimer cleanup_;
+    HttpCaller caller_;
 };
 
 } // namespace poplarroad
--- /dev/null
+++ b/src/service/directoryfeed.h
@@ -0,0 +1,96 @@
+#ifndef POPLARROAD_SERVICE_DIRECTORYFEED_H
+#define POPLARROAD_SERVICE_DIRECTORYFEED_H
+
+#include "link/directorysource.h"
+#include "poplarroad/clock.h"
+#include "zone/seededrandom.h"
+
+#include <optional>
+#include <variant>
+
+namespace poplarroad
+{
+
+/** Read the whole part. */
+struct ReadPart
+{
+    ReadConsistency consistency = ReadConsistency::Linearizable;
+};
+
+/** Wait for changes. */
+struct WatchPart
+{
+    Revision after;
+    Milliseconds wait{ 0 };
+};
+
+using FeedCall = std::variant<ReadPart, WatchPart>;
+
+/**
+ * Decides when one part of the directory is read from the store and when it is watched.
+ *
+ * One call is in progress at a time. An answer that belongs to an earlier call is told by its number.
+ */
+class DirectoryFeed
+{
+public:
+    /** How long the store holds a watch; each one that runs out costs a call. */
+    static constexpr Milliseconds WatchWait{ 10000 };
+    /** Pause after news, so that changes in quick succession come in one answer. */
+    static constexpr Milliseconds NewsPause{ 150 };
+    /** First pause after a failed call; doubles up to LongestBackoff. */
+    static constexpr Milliseconds FirstBackoff{ 50 };
+    /** Entries that lapsed are back within 2 s of the store's return, so it has to be noticed well before. */
+    static constexpr Milliseconds LongestBackoff{ 800 };
+
+    explicit DirectoryFeed(std::uint64_t seed)
+        : random_(seed)
+    {
+    }
+
+    /** A call to make now. */
+    struct Due
+    {
+        FeedCall call;
+        std::uint64_t number = 0;
+    };
+    /** @return the call to make now, or nothing */
+    std::optional<Due> next(TimePoint now);
+    /** Takes the answer of a call. @return whether it belongs to the last call and is to be used */
+    bool onAnswer(std::uint64_t number, const DirectoryAnswer &answer, TimePoint now);
+    /** Takes the content of a peer up to a revision, so that a watch starts there. */
+    void onPeerContent(Revision revision);
+    /** Watches, or leaves that to another balancer. The whole part is read once in any case. */
+    void setFollowing(bool following, TimePoint now);
+    /** Forgets the call in progress, which may never be answered, and reads the whole part. */
+    void restart(TimePoint now);
+    TimePoint nextTimer() const
+    {
+        return inProgress_ ? TimePoint::max() : due_;
+    }
+    /** @return when the store last answered */
+    std::optional<TimePoint> lastContact() const
+    {
+        return lastContact_;
+    }
+    Revision revision() const
+    {
+        return revision_;
+    }
+
+private:
+    void backOff(TimePoint now);
+
+    SeededRandom random_;
+    Revision revision_; ///< everything up to it is known; 0 before the first answer
+    bool following_ = true;
+    bool inProgress_ = false;
+    std::uint64_t number_ = 0;
+    TimePoint due_;
+    Milliseconds backoff_ = FirstBackoff;
+    std::optional<TimePoint> lastContact_;
+};
+
+} // namespace poplarroad
+
+#endif
--- /dev/null
+++ b/src/service/flowrouter.h
@@ -0,0 +1,138 @@
+#ifndef POPLARROAD_SERVICE_FLOWROUTER_H
+#define POPLARROAD_SERVICE_FLOWROUTER_H
+
+#include "poplarroad/directory.h"
+#include "poplarroad/packet.h"
+#include "service/packetflows.h"
+#include "target/targettable.h"
+#include "zone/seededrandom.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace poplarroad
+{
+
+/** Why a flow is reset. */
+enum class ResetReason : std::uint8_t {
+    RouteRemoved,
+    TargetGone,
+    TargetSilent,
+    Overload,
+    NoTarget,
+};
+
+template<>
+struct EnumNames<ResetReason>
+{
+    static constexpr std::array table{
+        EnumName<ResetReason>{ ResetReason::RouteRemoved, "route-removed" },
+        EnumName<ResetReason>{ ResetReason::TargetGone, "target-gone" },
+        EnumName<ResetReason>{ ResetReason::TargetSilent, "target-silent" },
+        EnumName<ResetReason>{ ResetReason::Overload, "overload" },
+        EnumName<ResetReason>{ ResetReason::NoTarget, "no-target" },
+    };
+};
+
+/** Why a packet is dropped without an answer. */
+enum class DropReason : std::uint8_t {
+    UnknownRoute, ///< never declared, as far as this balancer knows
+    UnknownTag, ///< the flow's target is not known here
+    NoTarget, ///< no target can take the flow now
+};
+
+template<>
+struct EnumNames<DropReason>
+{
+    static constexpr std::array table{
+        EnumName<DropReason>{ DropReason::UnknownRoute, "unknown-route" },
+        EnumName<DropReason>{ DropReason::UnknownTag, "unknown-tag" },
+        EnumName<DropReason>{ DropReason::NoTarget, "no-target" },
+    };
+};
+
+/** Send the packet on to a target. */
+struct ForwardPacket
+{
+    const Target *target; ///< valid until the next change of the targets
+    PacketTag tag;
+};
+
+/** End a flow at its caller. */
+struct ResetFlow
+{
+    FlowKey flow;
+    std::uint32_t sequence = 0; ///< what the caller last acknowledged
+    ResetReason reason = ResetReason::TargetGone;
+};
+
+struct DropPacket
+{
+    DropReason reason;
+};
+
+using PacketDecision = std::variant<ForwardPacket, ResetFlow, DropPacket>;
+
+/**
+ * Decides where each packet of a caller goes.
+ *
+ * The tag in a packet names its target, so a flow stays there whichever balancer it passes. New flows go to the target
+ * with the least work relative to its slots. No input or output; one task owns it.
+ */
+class FlowRouter
+{
+public:
+    /**
+     * @param zone the zone of this balancer, whose targets are preferred
+     * @param seed for random choices between equal targets
+     */
+    FlowRouter(ZoneId zone, std::uint64_t seed);
+
+    void setServices(ServiceMapPtr services);
+    /** Takes changes of the target list; `complete`: the changes are the whole list. */
+    void setTargets(const std::vector<TargetChange> &changes, bool complete, TimePoint now);
+    PacketDecision onPacket(const Packet &packet, TimePoint now);
+    /** Ends flows that cannot be answered and forgets idle ones; to be called at nextTimer(). */
+    void onTimer(TimePoint now, std::vector<ResetFlow> &resets);
+    TimePoint nextTimer() const
+    {
+        return nextTimer_;
+    }
+    const TargetTable &targets() const
+    {
+        return targets_;
+    }
+    std::size_t flows() const
+    {
+        return flows_.size();
+    }
+
+private:
+    PacketDecision onUnrouted(const Packet &packet);
+    PacketDecision onOpening(const Packet &packet, const ServiceRoute &route, TimePoint now);
+    PacketDecision onFlow(const Packet &packet, const ServiceRoute &route, TimePoint now);
+    /** Reads from a packet of a known flow what its target did. */
+    void observe(PacketFlow &flow, const Packet &packet, TimePoint now);
+    ServiceId serviceOf(const ServiceRoute &route, const Packet &packet) const;
+    /** @return the target for a new flow, or nothing when none takes one */
+    std::optional<TargetIndex> choose(const ServiceRoute &route, const Packet &packet,
+                                      std::optional<TargetIndex> avoid, TimePoint now);
+    double costOf(const TargetEntry &target, TimePoint now) const;
+    ForwardPacket forward(TargetIndex target) const;
+
+    ZoneId zone_;
+    SeededRandom random_;
+    ServiceMapPtr services_;
+    absl::flat_hash_set<HostAddress> removedRoutes_;
+    TargetTable targets_;
+    PacketFlows flows_;
+    TimePoint nextTimer_;
+};
+
+} // namespace poplarroad
+
+#endif
