Find silent targets from their callers' packets, prefer the own zone, take SIGHUP

Cause: flows at targets that fell silent or were cut off waited for the deadline, and SIGHUP ended the process. Change: repeated packets without progress make a target suspected, then silent; its flows are reset. The own zone is preferred by a whole request a slot.

--- a/src/host/daemonmain.cpp
+++ b/src/host/daemonmain.cpp
@@ -38,15 +38,20 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
-void waitForStop(const sigset_t &signals)
+void waitForStop(const sigset_t &signals, const std::function<void()> &reload)
 {
     int signal = 0;
-    sigwait(&signals, &signal);
+    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
+        if (signal == SIGHUP && reload) {
+            reload();
+        }
+    }
 }
 
 } // namespace poplarroad
--- a/src/host/daemonmain.h
+++ b/src/host/daemonmain.h
@@ -5,16 +5,21 @@
 #include "settings.h"
 
 #include <csignal>
+#include <functional>
 
 namespace poplarroad
 {
 
 /** Sends log lines of the level and above to standard output. */
 void startLogging(LogLevel level);
-/** Blocks the signals that stop a daemon, before any thread starts, so that only waitForStop() takes them. */
+/** Blocks the signals that stop a daemon or make it reload, before any thread starts, so that only waitForStop() takes them. */
 sigset_t blockStopSignals();
-/** Waits for one of the signals. */
-void waitForStop(const sigset_t &signals);
+/**
+ * Waits for one of the signals.
+ *
+ * @param reload called for each request to read the settings again
+ */
+void waitForStop(const sigset_t &signals, const std::function<void()> &reload = {});
 
 } // namespace poplarroad
 
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -48,7 +48,10 @@
 {
     std::visit(Visitor{
                    [&](ServicesInForce &inForce) { router_.setServices(std::move(inForce.services)); },
-                   [&](const TargetUpdate &update) { router_.setTargets(update.changes, update.complete, now()); },
+                   [&](const TargetUpdate &update) { 
+                       router_.setTargets(update.changes, update.complete, now());
+                       timer_.armAt(router_.nextTimer());
+                   },
                    [&](const StopTask &) { loop_.stop(); },
                },
                message);
@@ -61,7 +64,8 @@
         counters_.add(Counter::PacketsRefused);
         return;
     }
-    const PacketDecision decision = router_.onPacket(*packet, now());
+    const TimePoint time = now();
+    const PacketDecision decision = router_.onPacket(*packet, time);
     std::visit(Visitor{
                    [&](const ForwardPacket &forward) {
                        counters_.add(Counter::PacketsForwarded);
@@ -72,6 +76,9 @@
                    [&](const DropPacket &) { counters_.add(Counter::PacketsDropped); },
                },
                decision);
+    if (router_.nextTimer() <= time) {
+        onTimer();
+    }
 }
 
 void PacketTask::reset(const ResetFlow &reset)
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -16,7 +16,11 @@
 /** An idle flow will send again; it counts as this part of a request at its target. */
 constexpr double idleFlowWeight = 0.1;
 /** Requests that a target of another zone has to have less, for the way there. */
-constexpr double otherZonePenalty = 0.3;
+constexpr double otherZonePenalty = 1.0;
+/** A target that may not answer is chosen only when no other is left. */
+constexpr double suspicionPenalty = 1000.0;
+/** A target whose entry lapsed probably lives, but one whose entry is there comes first. */
+constexpr double lapsePenalty = 2.0;
 /** A target that warms up serves this part of its usual rate. */
 constexpr double warmupSpeed = 0.5;
 
@@ -26,6 +30,16 @@
     return static_cast<std::int32_t>(later - earlier) > 0;
 }
 
+/**
+ * A non-idempotent request that waits is left to its target, which may yet answer; its caller could not repeat it.
+ *
+ * @return whether the flow loses nothing when it ends
+ */
+bool mayReset(const PacketFlow &flow)
+{
+    return !flow.busy || flow.kind != RequestKind::NonIdempotent;
+}
+
 } // namespace
 
 FlowRouter::FlowRouter(ZoneId zone, std::uint64_t seed)
@@ -53,6 +67,13 @@
 void FlowRouter::setTargets(const std::vector<TargetChange> &changes, bool complete, TimePoint now)
 {
     targets_.apply(changes, complete, now);
+    for (const TargetChange &change : changes) {
+        const auto index = targets_.find(change.target.target.id);
+        if (index && change.listing == Listing::Gone) {
+            lost_.insert(*index);
+            nextTimer_ = now;
+        }
+    }
 }
 
 PacketDecision FlowRouter::onPacket(const Packet &packet, TimePoint now)
@@ -81,6 +102,7 @@
     PacketFlow *known = flows_.find(packet.flow);
     if (known && known->sent == packet.sequence && !known->open) {
         // The first target gave no answer in the usual time.
+        observeRepeat(*known, now);
         const auto other = choose(route, packet, known->target, now);
         if (other) {
             flows_.move(*known, *other);
@@ -103,6 +125,7 @@
     if (!target) {
         return DropPacket{ DropReason::UnknownTag };
     }
+    const bool silent = targets_.at(*target).evidence.belief() == TargetBelief::Silent;
     if (targets_.at(*target).listing == Listing::Gone) {
         flows_.remove(packet.flow);
         return ResetFlow{ packet.flow, packet.acknowledged, ResetReason::TargetGone };
@@ -118,22 +141,45 @@
         flow->acknowledged = packet.acknowledged;
     }
     observe(*flow, packet, now);
+    if (silent && targets_.at(*target).evidence.belief() == TargetBelief::Silent && mayReset(*flow)) {
+        flows_.remove(packet.flow);
+        return ResetFlow{ packet.flow, packet.acknowledged, ResetReason::TargetSilent };
+    }
     return forward(*target);
 }
 
 void FlowRouter::observe(PacketFlow &flow, const Packet &packet, TimePoint now)
 {
     flow.lastPacket = now;
-    flow.open = true;
-    if (isAfter(packet.acknowledged, flow.acknowledged)) {
+    const bool answered = isAfter(packet.acknowledged, flow.acknowledged);
+    if (!flow.open || answered) {
         flow.acknowledged = packet.acknowledged;
         flow.repeats = 0;
+        flow.open = true;
         flows_.setBusy(flow, false, now);
+        targets_.at(flow.target).evidence.onProgress(now);
     }
     const std::uint32_t end = packet.sequence + packet.length;
-    if (packet.length > 0 && isAfter(end, flow.sent)) {
+    if (packet.length == 0) {
+        return;
+    }
+    if (isAfter(end, flow.sent)) {
         flow.sent = end;
         flows_.setBusy(flow, true, now);
+    } else if (!answered) {
+        observeRepeat(flow, now);
+    }
+}
+
+void FlowRouter::observeRepeat(PacketFlow &flow, TimePoint now)
+{
+    TargetEvidence &evidence = targets_.at(flow.target).evidence;
+    const bool wasSilent = evidence.belief() == TargetBelief::Silent;
+    evidence.onRepeat(flow.repeats == 0, flow.open ? flow.waitingSince : flow.openedAt, now);
+    flow.repeats += flow.repeats < UINT8_MAX ? 1 : 0;
+    if (!wasSilent && evidence.belief() == TargetBelief::Silent) {
+        lost_.insert(flow.target);
+        nextTimer_ = now;
     }
 }
 
@@ -162,11 +208,15 @@
     std::uint32_t equals = 0;
     for (const TargetIndex index : targets_.ofService(serviceOf(route, packet))) {
         const TargetEntry &target = targets_.at(index);
-        if (target.listed.target.state != TargetState::Active || target.belief == TargetBelief::Silent
-            || index == avoid) {
+        if (target.listed.target.state != TargetState::Active || index == avoid) {
             continue;
         }
-        const double cost = costOf(target, now);
+        double cost = costOf(target, now);
+        if (target.evidence.belief() != TargetBelief::Answering) {
+            cost += suspicionPenalty;
+        } else if (target.listing == Listing::Lapsed) {
+            cost += lapsePenalty;
+        }
         if (cost < bestCost) {
             best = index;
             bestCost = cost;
@@ -192,12 +242,36 @@
     return { &entry.listed.target, entry.tag };
 }
 
-void FlowRouter::onTimer(TimePoint now, std::vector<ResetFlow> & /*resets*/)
+void FlowRouter::onTimer(TimePoint now, std::vector<ResetFlow> &resets)
 {
-    if (services_) {
+    endLostFlows(resets);
+    if (services_ && now >= nextExpiry_) {
         flows_.expire(now - services_->idleTimeout - expirySlack);
+        nextExpiry_ = now + expiryPeriod;
+    }
+    nextTimer_ = std::max(nextExpiry_, now + expiryPeriod / 2);
+}
+
+void FlowRouter::endLostFlows(std::vector<ResetFlow> &resets)
+{
+    std::vector<FlowKey> keys;
+    for (const TargetIndex index : lost_) {
+        const TargetEntry &target = targets_.at(index);
+        const bool gone = target.listing == Listing::Gone;
+        if (!gone && target.evidence.belief() != TargetBelief::Silent) {
+            continue;
+        }
+        keys.clear();
+        flows_.collect(index, keys);
+        for (const FlowKey &key : keys) {
+            const PacketFlow &flow = *flows_.find(key);
+            if (flow.open && (gone || mayReset(flow))) {
+                resets.push_back({ key, flow.acknowledged, gone ? ResetReason::TargetGone : ResetReason::TargetSilent });
+                flows_.remove(key);
+            }
+        }
     }
-    nextTimer_ = now + expiryPeriod;
+    lost_.clear();
 }
 
 } // namespace poplarroad
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -117,6 +117,10 @@
     PacketDecision onFlow(const Packet &packet, const ServiceRoute &route, TimePoint now);
     /** Reads from a packet of a known flow what its target did. */
     void observe(PacketFlow &flow, const Packet &packet, TimePoint now);
+    /** Counts a packet that the caller sent again. */
+    void observeRepeat(PacketFlow &flow, TimePoint now);
+    /** Ends the flows of targets that became silent or are gone. */
+    void endLostFlows(std::vector<ResetFlow> &resets);
     ServiceId serviceOf(const ServiceRoute &route, const Packet &packet) const;
     /** @return the target for a new flow, or nothing when none takes one */
     std::optional<TargetIndex> choose(const ServiceRoute &route, const Packet &packet,
@@ -130,6 +134,8 @@
     absl::flat_hash_set<HostAddress> removedRoutes_;
     TargetTable targets_;
     PacketFlows flows_;
+    absl::flat_hash_set<TargetIndex> lost_; ///< targets whose flows have to end
+    TimePoint nextExpiry_;
     TimePoint nextTimer_;
 };
 
--- /dev/null
+++ b/src/target/targetevidence.h
@@ -0,0 +1,83 @@
+#ifndef POPLARROAD_TARGET_TARGETEVIDENCE_H
+#define POPLARROAD_TARGET_TARGETEVIDENCE_H
+
+#include "poplarroad/clock.h"
+#include "poplarroad/enumnames.h"
+
+#include <cstdint>
+
+namespace poplarroad
+{
+
+/** What the packets of a target's flows say of it. */
+enum class TargetBelief : std::uint8_t {
+    Answering,
+    Suspected, ///< gets no new flows; its flows are left alone
+    Silent, ///< its flows cannot be answered
+};
+
+template<>
+struct EnumNames<TargetBelief>
+{
+    static constexpr std::array table{
+        EnumName<TargetBelief>{ TargetBelief::Answering, "answering" },
+        EnumName<TargetBelief>{ TargetBelief::Suspected, "suspected" },
+        EnumName<TargetBelief>{ TargetBelief::Silent, "silent" },
+    };
+};
+
+/**
+ * Judges from the callers' packets whether a target still answers.
+ *
+ * Answers go from the target to the caller directly. A caller that gets none sends its packet again after 200 ms and again
+ * after 400 ms more; an acknowledgement that advances shows that the target answered.
+ */
+class TargetEvidence
+{
+public:
+    /** Several flows that repeat themselves within this time without any progress make a target suspected. */
+    static constexpr Milliseconds SuspectAfter{ 150 };
+    /** A request that runs at most 240 ms behind a full queue is answered in less than this. */
+    static constexpr Milliseconds SilentAfter{ 550 };
+    /** Flows that have to repeat themselves: one alone can be a lost packet or a long request. */
+    static constexpr std::uint32_t FlowsToSuspect = 2;
+    static constexpr std::uint32_t FlowsToSilence = 2;
+    /** How often a suspected or silent target gets one new flow, to see whether it answers again. */
+    static constexpr Milliseconds TrialPeriod{ 2000 };
+
+    /** A new life of the target, or the process was paused: nothing is known. */
+    void reset(TimePoint now);
+    /** A caller's acknowledgement advanced, or a handshake was completed. */
+    void onProgress(TimePoint now);
+    /**
+     * A caller sent a packet again.
+     *
+     * @param firstOfFlow the flow has not repeated itself since its last progress
+     * @param waitingSince when the caller sent the packet first
+     */
+    void onRepeat(bool firstOfFlow, TimePoint waitingSince, TimePoint now);
+    /** @return whether one new flow may go there now although it is not known to answer; it is counted then */
+    bool takeTrial(TimePoint now);
+    TargetBelief belief() const
+    {
+        return belief_;
+    }
+    TimePoint since() const
+    {
+        return since_;
+    }
+
+private:
+    void become(TargetBelief belief, TimePoint now);
+
+    TargetBelief belief_ = TargetBelief::Answering;
+    TimePoint since_;
+    TimePoint lastProgress_;
+    TimePoint waitingSince_; ///< of the oldest packet that was sent again since the last progress
+    TimePoint lastTrial_;
+    std::uint32_t flows_ = 0; ///< that sent again since the last progress
+};
+
+} // namespace poplarroad
+
+#endif
--- a/src/target/targettable.cpp
+++ b/src/target/targettable.cpp
@@ -48,13 +48,12 @@
     }
     TargetEntry &entry = entries_[place.value];
     const bool reborn = known == byId_.end() || entry.listed.instance != change.target.instance;
+    const bool returned = entry.listing != Listing::Present && change.listing == Listing::Present;
     if (reborn || entry.listing != change.listing) {
         entry.listingSince = now;
     }
-    if (reborn) {
-        entry.belief = TargetBelief::Answering;
-        entry.unanswered = 0;
-        entry.lastProgress = now;
+    if (reborn || returned) {
+        entry.evidence.reset(now);
     }
     entry.listed = change.target;
     entry.listing = change.listing;
--- a/src/target/targettable.h
+++ b/src/target/targettable.h
@@ -3,6 +3,7 @@
 
 #include "poplarroad/directory.h"
 #include "poplarroad/packet.h"
+#include "target/targetevidence.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -13,21 +14,6 @@
 namespace poplarroad
 {
 
-/** What the packets of a target's flows say of it. */
-enum class TargetBelief : std::uint8_t {
-    Answering,
-    Silent, ///< several of its flows repeat themselves and none makes progress
-};
-
-template<>
-struct EnumNames<TargetBelief>
-{
-    static constexpr std::array table{
-        EnumName<TargetBelief>{ TargetBelief::Answering, "answering" },
-        EnumName<TargetBelief>{ TargetBelief::Silent, "silent" },
-    };
-};
-
 /** Index of a target in a TargetTable; stable while the table lives. */
 using TargetIndex = Id<struct TargetIndexTag, std::uint32_t>;
 
@@ -43,12 +29,7 @@
     std::uint32_t busy = 0; ///< flows of these that wait for an answer
     std::uint32_t elsewhere = 0; ///< flows that other balancers of the zone reported
     std::uint32_t busyElsewhere = 0;
-    TargetBelief belief = TargetBelief::Answering;
-    TimePoint beliefSince;
-    TimePoint lastProgress;
-    std::uint32_t unanswered = 0; ///< flows that repeated themselves since the last progress
-    TimePoint firstUnanswered;
-    TimePoint lastTrial; ///< when a silent target last got a new flow
+    TargetEvidence evidence;
 };
 
 /** The targets that are or were listed, found by id or by tag. */
