--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -118,11 +118,17 @@
     services_ = services;
     LOG4CXX_INFO(logger(), "services version=" << services->version << " routes=" << services->routes.size());
     receivers_.toPackets(ServicesInForce{ services });
+    checkReady();
 }
 
 void DirectoryTask::takeTargets(const TargetUpdate &update)
 {
     publish(targets_.apply(update, now()));
+    checkReady();
+}
+
+void DirectoryTask::checkReady()
+{
     if (!ready_ && services_ && targets_.revision().value != 0) {
         ready_ = true;
         LOG4CXX_INFO(logger(), "ready targets=" << targets_.size());
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -49,6 +49,7 @@
     void takeServices(const ServiceMapPtr &services);
     void takeTargets(const TargetUpdate &update);
     void publish(const TargetUpdate &news);
+    void checkReady();
     void onPaused();
     DirectoryFeed &feed(DirectoryPart part)
     {
