Let one balancer follow the store for all, and share load and evidence

Change: beacons and content between balancers over the existing membership and its authenticated links; a balancer that hears a fresh beacon of a better-ranked one leaves the store to it. Load reports every 150 ms in a zone.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -33,6 +33,11 @@
     configRequest @20 :UInt64;
     configChanges @21 :List(Text);
     configSnapshot @22 :SnapshotPart;
+
+    directoryBeacon @23 :DirectoryBeacon;
+    directoryRequest @24 :DirectoryRequest;
+    directoryContent @25 :DirectoryContent;
+    loadReport @26 :List(TargetLoad);
   }
 }
 
@@ -205,3 +210,71 @@
   reply @1 :Envelope;
   report @2 :PoolReport;
 }
+
+struct DirectoryBeacon {
+  followerIp @0 :UInt32;
+  followerPort @1 :UInt16;
+  relayed @2 :Bool;
+  rank @3 :UInt64;
+  serviceVersion @4 :UInt64;
+  targets @5 :UInt64;
+  contactAgeMs @6 :UInt32;
+}
+
+struct DirectoryRequest {
+  serviceVersion @0 :UInt64;
+  targets @1 :UInt64;
+}
+
+struct WeightedService {
+  service @0 :UInt32;
+  weight @1 :UInt32;
+}
+
+struct ServiceRoute {
+  ip @0 :UInt32;
+  port @1 :UInt16;
+  kind @2 :UInt8;
+  urgency @3 :UInt8;
+  deadlineMs @4 :UInt32;
+  latencyGoalMs @5 :UInt32;
+  services @6 :List(WeightedService);
+}
+
+struct ServiceMap {
+  version @0 :UInt64;
+  idleTimeoutMs @1 :UInt32;
+  routes @2 :List(ServiceRoute);
+}
+
+struct ListedTarget {
+  id @0 :UInt64;
+  instance @1 :UInt64;
+  revision @2 :UInt64;
+  service @3 :UInt32;
+  zone @4 :UInt32;
+  ip @5 :UInt32;
+  port @6 :UInt16;
+  slots @7 :UInt16;
+  warmupMs @8 :UInt32;
+  state @9 :UInt8;
+  listing @10 :UInt8;
+  name @11 :Text;
+}
+
+# Services are left out when the receiver has them.
+struct DirectoryContent {
+  services @0 :ServiceMap;
+  targetsAfter @1 :UInt64;
+  targetsRevision @2 :UInt64;
+  targetsComplete @3 :Bool;
+  targets @4 :List(ListedTarget);
+}
+
+struct TargetLoad {
+  target @0 :UInt64;
+  flows @1 :UInt16;
+  busy @2 :UInt16;
+  repeating @3 :UInt16;
+  sinceProgressMs @4 :UInt32;
+}
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -15,12 +15,23 @@
 
 /** Longer than a late timer on a small machine; what the store said before is old then. */
 constexpr Milliseconds pauseLimit{ 700 };
+/** The end of each watch shows that the store still answers; a change has to be in force within 3 s. */
+constexpr Milliseconds servicesWait{ 1000 };
+/** A target may be used for 3 s after its entry says that it drains. */
+constexpr Milliseconds targetsWait{ 2000 };
 
 TimePoint now()
 {
     return std::chrono::steady_clock::now();
 }
 
+/** Hosts with more processor follow the store for the others. */
+std::uint64_t rankOf(const Settings &settings)
+{
+    constexpr double steps = 1000.0;
+    return static_cast<std::uint64_t>(settings.processorShare * steps);
+}
+
 log4cxx::LoggerPtr logger()
 {
     static const log4cxx::LoggerPtr result = log4cxx::Logger::getLogger("poplarroad.directory");
@@ -29,11 +40,15 @@
 
 } // namespace
 
-DirectoryTask::DirectoryTask(const SourceFactory &makeSource, Receivers receivers, CounterSet &counters)
+DirectoryTask::DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers,
+                             CounterSet &counters)
     : receivers_(std::move(receivers))
     , counters_(counters)
     , source_(makeSource(loop_))
-    , feeds_{ DirectoryFeed(std::random_device()()), DirectoryFeed(std::random_device()()) }
+    , feeds_{ DirectoryFeed(servicesWait, std::random_device()()), DirectoryFeed(targetsWait, std::random_device()()) }
+    , self_(settings.peers)
+    , zone_(zoneIdOf(settings.zone))
+    , share_(settings.peers, rankOf(settings))
     , timer_(loop_, [this] { advance(); })
     , pauses_(loop_, pauseLimit, [this](Milliseconds) { onPaused(); })
     , mailbox_(loop_, [this](DirectoryTaskMessage &&message) { handle(std::move(message)); })
@@ -60,16 +75,31 @@
 void DirectoryTask::handle(DirectoryTaskMessage &&message)
 {
     std::visit(Visitor{
+                   [&](FleetViewChanged &changed) { view_ = std::move(changed.view); },
+                   [&](const FleetMessageReceived &received) { onFleetMessage(received); },
+                   [&](const BeginLeave &) { leaving_ = true; },
                    [&](const StopTask &) { loop_.stop(); },
                },
                message);
+    advance();
 }
 
 void DirectoryTask::advance()
 {
     const TimePoint time = now();
-    TimePoint next = targets_.nextTimer();
     publish(targets_.onTimer(time));
+    const bool follows = share_.follows(time) && !leaving_;
+    if (follows != following_) {
+        following_ = follows;
+        LOG4CXX_INFO(logger(), "following store=" << (follows ? "yes" : "no"));
+    }
+    for (DirectoryFeed &each : feeds_) {
+        each.setFollowing(follows, time);
+    }
+    if (follows) {
+        sendBeacon(time);
+    }
+    TimePoint next = std::min(targets_.nextTimer(), share_.nextTimer(time));
     for (const auto &[part, name] : EnumNames<DirectoryPart>::table) {
         if (const auto due = feed(part).next(time)) {
             call(part, *due);
@@ -99,32 +129,41 @@
         LOG4CXX_WARN(logger(), "store-call part=" << nameOf(part) << " outcome=" << nameOf(*answer.error));
     }
     if (feed(part).onAnswer(number, answer, now())) {
-        if (answer.services) {
-            takeServices(answer.services);
-        }
+        const std::uint64_t version = services_ ? services_->version : 0;
+        const Revision before = targets_.revision();
+        bool news = answer.services && takeServices(answer.services);
         if (part == DirectoryPart::Targets) {
-            takeTargets({ answer.revision, answer.complete, std::move(answer.targets) });
+            news = takeTargets({ answer.revision, answer.complete, std::move(answer.targets) }) || news;
+        }
+        if (news && following_ && version != 0 && before.value != 0) {
+            std::vector<HostAddress> hosts = zoneMembers();
+            const std::vector<HostAddress> others = gateways();
+            hosts.insert(hosts.end(), others.begin(), others.end());
+            sendContent(std::move(hosts), version, before);
         }
     }
     advance();
 }
 
-void DirectoryTask::takeServices(const ServiceMapPtr &services)
+bool DirectoryTask::takeServices(const ServiceMapPtr &services)
 {
     // Versions never go back within one life of the process.
     if (services_ && services->version <= services_->version) {
-        return;
+        return false;
     }
     services_ = services;
     LOG4CXX_INFO(logger(), "services version=" << services->version << " routes=" << services->routes.size());
     receivers_.toPackets(ServicesInForce{ services });
     checkReady();
+    return true;
 }
 
-void DirectoryTask::takeTargets(const TargetUpdate &update)
+bool DirectoryTask::takeTargets(const TargetUpdate &update)
 {
-    publish(targets_.apply(update, now()));
+    const TargetUpdate news = targets_.apply(update, now());
+    publish(news);
     checkReady();
+    return !news.changes.empty();
 }
 
 void DirectoryTask::checkReady()
@@ -150,6 +189,102 @@
     receivers_.toPackets(news);
 }
 
+void DirectoryTask::onFleetMessage(const FleetMessageReceived &received)
+{
+    std::visit(Visitor{
+                   [&](const DirectoryBeacon &beacon) { onBeacon(received, beacon); },
+                   [&](const DirectoryRequest &request) {
+                       sendContent({ received.from }, request.serviceVersion, request.targets);
+                   },
+                   [&](const DirectoryContent &content) { onContent(received, content); },
+                   [](const LoadReport &) {}, // for the task of the packets
+               },
+               received.message);
+}
+
+void DirectoryTask::onBeacon(const FleetMessageReceived &received, const DirectoryBeacon &beacon)
+{
+    const DirectoryShare::Reaction reaction = share_.onBeacon(beacon, state(), now());
+    if (reaction.request) {
+        receivers_.toPeers({ { received.from }, *reaction.request });
+    }
+    if (reaction.readStore) {
+        for (DirectoryFeed &each : feeds_) {
+            each.restart(now());
+        }
+    }
+    if (received.zone != zone_ && !beacon.relayed) {
+        DirectoryBeacon relayed = beacon;
+        relayed.relayed = true;
+        receivers_.toPeers({ zoneMembers(), relayed });
+    }
+}
+
+void DirectoryTask::onContent(const FleetMessageReceived &received, const DirectoryContent &content)
+{
+    const std::uint64_t version = services_ ? services_->version : 0;
+    const Revision before = targets_.revision();
+    bool news = content.services && takeServices(content.services);
+    // Changes that do not follow the list are left out; the next beacon makes this balancer ask for all of them.
+    if (before.value != 0 && (content.targets.complete || content.targetsAfter <= before)) {
+        news = takeTargets(content.targets) || news;
+    }
+    if (news && received.zone != zone_) {
+        sendContent(zoneMembers(), version, before);
+    }
+}
+
+void DirectoryTask::sendBeacon(TimePoint time)
+{
+    if (const auto beacon = share_.beacon(state(), time)) {
+        std::vector<HostAddress> hosts = zoneMembers();
+        const std::vector<HostAddress> others = gateways();
+        hosts.insert(hosts.end(), others.begin(), others.end());
+        receivers_.toPeers({ std::move(hosts), *beacon });
+    }
+}
+
+void DirectoryTask::sendContent(std::vector<HostAddress> hosts, std::uint64_t serviceVersion, Revision targets)
+{
+    if (hosts.empty() || !ready_) {
+        return;
+    }
+    DirectoryContent content;
+    content.services = services_->version > serviceVersion ? services_ : nullptr;
+    content.targets = targets_.since(targets);
+    content.targetsAfter = targets;
+    receivers_.toPeers({ std::move(hosts), std::move(content) });
+}
+
+DirectoryState DirectoryTask::state() const
+{
+    std::optional<TimePoint> contact;
+    for (const DirectoryFeed &each : feeds_) {
+        contact = std::max(contact, each.lastContact());
+    }
+    return { services_ ? services_->version : 0, targets_.lastChange(), contact };
+}
+
+std::vector<HostAddress> DirectoryTask::zoneMembers() const
+{
+    std::vector<HostAddress> hosts;
+    for (const HostRecord &host : view_ ? view_->hosts : std::vector<HostRecord>()) {
+        if (host.address != self_ && host.state != HostState::Dead) {
+            hosts.push_back(host.address);
+        }
+    }
+    return hosts;
+}
+
+std::vector<HostAddress> DirectoryTask::gateways() const
+{
+    std::vector<HostAddress> hosts;
+    for (const ZoneSummary &zone : view_ ? view_->otherZones : std::vector<ZoneSummary>()) {
+        hosts.insert(hosts.end(), zone.gateways.begin(), zone.gateways.end());
+    }
+    return hosts;
+}
+
 void DirectoryTask::onPaused()
 {
     LOG4CXX_WARN(logger(), "paused; reading the directory again");
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -7,6 +7,7 @@
 #include "packettask.h"
 #include "pausedetector.h"
 #include "service/directoryfeed.h"
+#include "service/directoryshare.h"
 #include "service/targetreplica.h"
 #include "taskmessages.h"
 #include "taskthread.h"
@@ -19,7 +20,7 @@
 {
 
 /** Messages to the task that owns the directory and the connection to the store. */
-using DirectoryTaskMessage = std::variant<StopTask>;
+using DirectoryTaskMessage = std::variant<FleetViewChanged, FleetMessageReceived, BeginLeave, StopTask>;
 
 /** Owns the connection to the store and what this balancer knows of services and targets. */
 class DirectoryTask
@@ -31,10 +32,12 @@
     struct Receivers
     {
         std::function<void(PacketTaskMessage)> toPackets;
+        std::function<void(SendFleetMessage)> toPeers;
         std::function<void()> ready; ///< services and targets are known; called once
     };
 
-    DirectoryTask(const SourceFactory &makeSource, Receivers receivers, CounterSet &counters);
+    DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers,
+                  CounterSet &counters);
 
     void start();
     /** Callable from any thread. */
@@ -46,8 +49,19 @@
     void advance();
     void call(DirectoryPart part, const DirectoryFeed::Due &due);
     void onAnswer(DirectoryPart part, std::uint64_t number, DirectoryAnswer answer);
-    void takeServices(const ServiceMapPtr &services);
-    void takeTargets(const TargetUpdate &update);
+    /** @return whether the services are newer than those in force */
+    bool takeServices(const ServiceMapPtr &services);
+    /** @return whether the list changed */
+    bool takeTargets(const TargetUpdate &update);
+    void onFleetMessage(const FleetMessageReceived &received);
+    void onBeacon(const FleetMessageReceived &received, const DirectoryBeacon &beacon);
+    void onContent(const FleetMessageReceived &received, const DirectoryContent &content);
+    void sendBeacon(TimePoint time);
+    /** Sends what is newer than the given state. */
+    void sendContent(std::vector<HostAddress> hosts, std::uint64_t serviceVersion, Revision targets);
+    DirectoryState state() const;
+    std::vector<HostAddress> zoneMembers() const;
+    std::vector<HostAddress> gateways() const;
     void publish(const TargetUpdate &news);
     void checkReady();
     void onPaused();
@@ -63,6 +77,12 @@
     std::array<DirectoryFeed, EnumNames<DirectoryPart>::table.size()> feeds_;
     ServiceMapPtr services_;
     TargetReplica targets_;
+    HostAddress self_;
+    ZoneId zone_;
+    DirectoryShare share_;
+    std::shared_ptr<const FleetView> view_;
+    bool following_ = true;
+    bool leaving_ = false;
     bool ready_ = false;
     LoopTimer timer_;
     PauseDetector pauses_;
--- a/src/host/packethost.h
+++ b/src/host/packethost.h
@@ -4,6 +4,7 @@
 #include "directorytask.h"
 #include "metricstask.h"
 #include "packettask.h"
+#include "peertask.h"
 #include "settings.h"
 
 #include <atomic>
@@ -29,11 +30,15 @@
 
 private:
     void stop();
+    TaskLinks makeLinks();
 
     Settings settings_;
     CounterSet packetCounters_;
     CounterSet directoryCounters_;
     std::atomic<bool> ready_ = false;
+    CounterSet peerCounters_;
+    TaskLinks links_;
+    PeerTask peers_;
     PacketTask packets_;
     DirectoryTask directory_;
     MetricsTask metrics_;
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -10,6 +10,11 @@
 namespace
 {
 
+/** How often a balancer tells its zone what it sees; a target that fell silent has to be found within some 100 ms. */
+constexpr Milliseconds reportPeriod{ 150 };
+/** Balancers that get each report; bounds the bytes in a large zone. */
+constexpr std::size_t reportReceivers = 4;
+
 TimePoint now()
 {
     return std::chrono::steady_clock::now();
@@ -17,11 +22,16 @@
 
 } // namespace
 
-PacketTask::PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec, CounterSet &counters)
+PacketTask::PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec,
+                       std::function<void(SendFleetMessage)> toPeers, CounterSet &counters)
     : callerPort_(settings.callers.port)
     , codec_(std::move(codec))
+    , toPeers_(std::move(toPeers))
     , counters_(counters)
     , router_(zoneIdOf(settings.zone), std::random_device()())
+    , self_(settings.peers)
+    , random_(std::random_device()())
+    , reportTimer_(loop_, [this] { sendReport(); })
     , socket_(loop_, settings.callers, [this](const HostAddress &, std::string_view datagram) { onDatagram(datagram); })
     , timer_(loop_, [this] { onTimer(); })
     , mailbox_(loop_, [this](PacketTaskMessage &&message) { handle(std::move(message)); })
@@ -31,6 +41,7 @@
 void PacketTask::start()
 {
     timer_.armAt(now());
+    reportTimer_.armAfter(reportPeriod);
     thread_.start(loop_, "packets");
 }
 
@@ -52,6 +63,12 @@
                        router_.setTargets(update.changes, update.complete, now());
                        timer_.armAt(router_.nextTimer());
                    },
+                   [&](FleetViewChanged &changed) { view_ = std::move(changed.view); },
+                   [&](const FleetMessageReceived &received) {
+                       if (const auto *report = std::get_if<LoadReport>(&received.message)) {
+                           router_.onPeerReport(received.from, *report, now());
+                       }
+                   },
                    [&](const StopTask &) { loop_.stop(); },
                },
                message);
@@ -97,4 +114,24 @@
     timer_.armAt(router_.nextTimer());
 }
 
+void PacketTask::sendReport()
+{
+    reportTimer_.armAfter(reportPeriod);
+    std::vector<HostAddress> hosts;
+    for (const HostRecord &host : view_ ? view_->hosts : std::vector<HostRecord>()) {
+        if (host.address != self_ && FleetView::takesNewWork(host)) {
+            hosts.push_back(host.address);
+        }
+    }
+    LoadReport report = router_.report(now());
+    if (hosts.empty() || report.loads.empty()) {
+        return;
+    }
+    if (hosts.size() > reportReceivers) {
+        random_.shuffle(hosts);
+        hosts.resize(reportReceivers);
+    }
+    toPeers_({ std::move(hosts), std::move(report) });
+}
+
 } // namespace poplarroad
--- a/src/host/packettask.h
+++ b/src/host/packettask.h
@@ -6,7 +6,6 @@
 #include "link/packetcodec.h"
 #include "mailbox.h"
 #include "service/flowrouter.h"
-#include "service/targetreplica.h"
 #include "settings.h"
 #include "taskmessages.h"
 #include "taskthread.h"
@@ -23,13 +22,15 @@
 };
 
 /** Messages to the task that owns the callers' packets. */
-using PacketTaskMessage = std::variant<ServicesInForce, TargetUpdate, StopTask>;
+using PacketTaskMessage = std::variant<ServicesInForce, TargetUpdate, FleetViewChanged, FleetMessageReceived, StopTask>;
 
 /** Owns the socket for the packets of callers, and the routing of flows. */
 class PacketTask
 {
 public:
-    PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec, CounterSet &counters);
+    /** @param toPeers called in the task's thread and only posts */
+    PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec,
+               std::function<void(SendFleetMessage)> toPeers, CounterSet &counters);
 
     bool bound() const
     {
@@ -45,12 +46,18 @@
     void onDatagram(std::string_view datagram);
     void reset(const ResetFlow &reset);
     void onTimer();
+    void sendReport();
 
     std::uint16_t callerPort_; ///< callers take packets at the port that this balancer takes theirs
     std::unique_ptr<PacketCodec> codec_;
+    std::function<void(SendFleetMessage)> toPeers_;
     CounterSet &counters_;
     EventLoop loop_;
     FlowRouter router_;
+    HostAddress self_;
+    SeededRandom random_;
+    std::shared_ptr<const FleetView> view_;
+    LoopTimer reportTimer_;
     DatagramSocket socket_;
     LoopTimer timer_;
     Mailbox<PacketTaskMessage> mailbox_;
--- a/src/host/peertask.cpp
+++ b/src/host/peertask.cpp
@@ -95,6 +95,7 @@
                     counters_.add(Counter::PeerBytesSent, sendFrame(config.host, frame));
                 }
             },
+            [&](const SendFleetMessage &send) { sendFleetMessage(send); },
             [&](const PlatformHosts &hosts) { membership_.onPlatformHosts(hosts.live, hosts.leaving, now(), actions); },
             [&](const ProcessPaused &paused) { onPaused(paused.incarnation); },
             [&](const BeginLeave &) { membership_.leave(now(), actions); },
@@ -109,6 +110,10 @@
 {
     const auto opened = bytes.size() > MaxDatagram ? std::nullopt : datagramOpener_.open(bytes);
     const auto datagram = opened ? codec_.decodePeerDatagram(opened->payload) : std::nullopt;
+    if (opened && !datagram && onFleetMessage(opened->from, opened->payload)) {
+        counters_.add(Counter::PeerDatagramsReceived);
+        return;
+    }
     if (!datagram) {
         counters_.add(Counter::PeerMessagesRefused);
         return;
@@ -136,6 +141,10 @@
 {
     const auto opened = frameOpener_.open(bytes);
     auto frame = opened ? codec_.decodePeerFrame(opened->payload) : std::nullopt;
+    if (opened && !frame && onFleetMessage(opened->from, opened->payload)) {
+        counters_.add(Counter::PeerFramesReceived);
+        return;
+    }
     if (!frame) {
         counters_.add(Counter::PeerMessagesRefused);
         return;
@@ -157,14 +166,51 @@
         std::move(*frame));
 }
 
+bool PeerTask::onFleetMessage(const PeerIdentity &from, std::string_view payload)
+{
+    if (!links_.toFleet || codec_.lastError() != WireError::UnexpectedKind) {
+        return false;
+    }
+    auto message = codec_.decodeFleetMessage(payload);
+    if (message) {
+        links_.toFleet({ from.address, from.zone, std::move(*message) });
+    }
+    return message.has_value();
+}
+
+void PeerTask::sendFleetMessage(const SendFleetMessage &send)
+{
+    const std::string encoded = encodeFleetMessage(send.message);
+    for (const HostAddress &host : send.hosts) {
+        if (encoded.size() + PeerAuth::Overhead <= MaxDatagram) {
+            sendDatagram(host, encoded);
+        } else {
+            counters_.add(Counter::PeerBytesSent, sendFrame(host, encoded));
+        }
+    }
+}
+
+void PeerTask::sendDatagram(const HostAddress &host, const std::string &encoded)
+{
+    std::string bytes = sealer_.seal(encoded, host);
+    counters_.add(Counter::PeerDatagramsSent);
+    counters_.add(Counter::PeerBytesSent, bytes.size());
+    udp_.send(host, std::move(bytes));
+}
+
 std::size_t PeerTask::sendFrame(const HostAddress &host, const PeerFrame &frame)
+{
+    return sendFrame(host, codec_.encode(frame));
+}
+
+std::size_t PeerTask::sendFrame(const HostAddress &host, const std::string &encoded)
 {
     auto &link = outgoing_[host];
     if (!link) {
         link = std::make_unique<FrameLink>(
             loop_, host, limits_, [](std::string_view) {}, [this, host](LinkEnd end) { onLinkEnd(host, end); });
     }
-    const std::string bytes = sealer_.seal(codec_.encode(frame), host);
+    const std::string bytes = sealer_.seal(encoded, host);
     if (!link->send(bytes)) {
         // The peer does not read; its requests end by their deadlines.
         counters_.add(Counter::PeerFramesDropped);
@@ -198,10 +244,7 @@
     for (const MembershipAction &action : actions) {
         std::visit(Visitor{
                        [&](const SendDatagram &send) {
-                           std::string bytes = sealer_.seal(encodePeerDatagram(send.datagram), send.to);
-                           counters_.add(Counter::PeerDatagramsSent);
-                           counters_.add(Counter::PeerBytesSent, bytes.size());
-                           udp_.send(send.to, std::move(bytes));
+                           sendDatagram(send.to, encodePeerDatagram(send.datagram));
                        },
                        [&](const ViewChanged &changed) {
                            links_.toCallers(FleetViewChanged{ changed.view });
--- a/src/host/peertask.h
+++ b/src/host/peertask.h
@@ -45,6 +45,11 @@
     void onPaused(Incarnation incarnation);
     /** @return the bytes that were queued; 0 when the link takes no more */
     std::size_t sendFrame(const HostAddress &host, const PeerFrame &frame);
+    std::size_t sendFrame(const HostAddress &host, const std::string &encoded);
+    void sendDatagram(const HostAddress &host, const std::string &encoded);
+    void sendFleetMessage(const SendFleetMessage &send);
+    /** @return whether the payload is a message on services and targets; it is passed on then */
+    bool onFleetMessage(const PeerIdentity &from, std::string_view payload);
     void carryOut(const MembershipActions &actions);
 
     const TaskLinks &links_;
--- a/src/host/settings.cpp
+++ b/src/host/settings.cpp
@@ -1,6 +1,7 @@
 #include "host/settings.h"
 
 #include <ini.h>
+#include <openssl/sha.h>
 
 #include <algorithm>
 #include <array>
@@ -46,10 +47,10 @@
     return error == std::errc() && end == value.data() + value.size() && count > 0 && count <= largest;
 }
 
-bool takeFraction(double &to, const std::string &value)
+bool takeNumber(double &to, const std::string &value, double largest)
 {
     const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), to);
-    return error == std::errc() && end == value.data() + value.size() && to >= 0.0 && to <= 1.0;
+    return error == std::errc() && end == value.data() + value.size() && to >= 0.0 && to <= largest;
 }
 
 bool takeSeeds(Settings &settings, const std::string &value)
@@ -103,6 +104,16 @@
     return !taken;
 }
 
+/** Takes a key that is the digest of a text, where no secret can be given to the balancers. */
+bool takeDerivedKey(Settings &settings, const std::string &value)
+{
+    Key key;
+    static_assert(sizeof(key.bytes) == SHA256_DIGEST_LENGTH);
+    SHA256(reinterpret_cast<const unsigned char *>(value.data()), value.size(), key.bytes.data());
+    settings.keys.push_back(key);
+    return !value.empty();
+}
+
 template<HostAddress Settings::*Member>
 bool addressTo(Settings &settings, const std::string &value)
 {
@@ -147,6 +158,11 @@
                 return value.starts_with('/');
             },
             "a path that begins with /" },
+    KeyRow{ "host", "processor-share", Need::Optional,
+            [](Settings &settings, const std::string &value) {
+                return takeNumber(settings.processorShare, value, 1024.0) && settings.processorShare > 0.0;
+            },
+            "a number of cores above 0, at most 1024" },
     KeyRow{ "host", "drain-time-ms", Need::Optional,
             [](Settings &settings, const std::string &value) {
                 return takeMilliseconds(settings.drainTime, value, 60'000);
@@ -155,6 +171,7 @@
     KeyRow{ "platform", "address", Need::Always, addressTo<&Settings::platform>, anAddress },
     KeyRow{ "keys", "current", Need::Requests, takeKey, aKey },
     KeyRow{ "keys", "next", Need::Optional, takeKey, aKey },
+    KeyRow{ "keys", "derive-from", Need::Optional, takeDerivedKey, "a text that all balancers of the fleet share" },
     KeyRow{ "keys", "previous", Need::Optional, takeKey, aKey },
     KeyRow{ "trace", "file", Need::Optional,
             [](Settings &settings, const std::string &value) {
@@ -163,7 +180,7 @@
             },
             "a path" },
     KeyRow{ "trace", "sample", Need::Optional,
-            [](Settings &settings, const std::string &value) { return takeFraction(settings.traceSample, value); },
+            [](Settings &settings, const std::string &value) { return takeNumber(settings.traceSample, value, 1.0); },
             "a number from 0 to 1" },
     KeyRow{ "log", "level", Need::Optional,
             [](Settings &settings, const std::string &value) {
@@ -253,7 +270,9 @@
         return true;
     }
     // The order in the file does not matter: the current key signs.
-    const auto isCurrent = [&](const std::string &name) { return name == "keys.current"; };
+    const auto isCurrent = [&](const std::string &name) {
+        return name == "keys.current" || name == "keys.derive-from";
+    };
     std::vector<std::string> keyNames;
     std::copy_if(seen_.begin(), seen_.end(), std::back_inserter(keyNames),
                  [](const std::string &name) { return name.starts_with("keys."); });
--- a/src/host/taskmessages.h
+++ b/src/host/taskmessages.h
@@ -3,6 +3,7 @@
 
 #include "poplarroad/configsync.h"
 #include "poplarroad/dispatcher.h"
+#include "poplarroad/fleetmessages.h"
 #include "poplarroad/membership.h"
 #include "poplarroad/router.h"
 
@@ -166,6 +167,21 @@
     PeerConfigMessage message;
 };
 
+/** Send to other balancers, as a datagram where it fits and otherwise over their links. */
+struct SendFleetMessage
+{
+    std::vector<HostAddress> hosts;
+    FleetMessage message;
+};
+
+/** A message of another balancer on services and targets. */
+struct FleetMessageReceived
+{
+    HostAddress from;
+    ZoneId zone; ///< of the sender
+    FleetMessage message;
+};
+
 /** The platform's list of hosts. */
 struct PlatformHosts
 {
@@ -180,7 +196,7 @@
 
 /** Messages to the task that owns the sockets to other balancers and the membership. */
 using PeerTaskMessage = std::variant<ConfigurationInForce, SendForward, SendForwardedReply, SendConfigMessage,
-                                     PlatformHosts, ProcessPaused, BeginLeave, MembershipStatusQuery, StopTask>;
+                                     SendFleetMessage, PlatformHosts, ProcessPaused, BeginLeave, MembershipStatusQuery, StopTask>;
 
 /** A configuration message from another balancer. */
 struct PeerConfigReceived
@@ -200,6 +216,7 @@
     std::function<void(DispatchTaskMessage)> toDispatch;
     std::function<void(PeerTaskMessage)> toPeers;
     std::function<void(ConfigTaskMessage)> toConfig;
+    std::function<void(FleetMessageReceived)> toFleet; ///< of the frontend for packets; may be empty
 };
 
 } // namespace poplarroad
--- a/src/link/wire.h
+++ b/src/link/wire.h
@@ -4,6 +4,7 @@
 #include "host/taskmessages.h"
 #include "poplarroad/dispatcher.h"
 #include "poplarroad/enumnames.h"
+#include "poplarroad/fleetmessages.h"
 #include "poplarroad/membership.h"
 #include "poplarroad/request.h"
 #include "poplarroad/tokencodec.h"
@@ -107,6 +108,8 @@
     std::optional<CallerMessage> decodeCallerMessage(std::string_view bytes);
     std::optional<PeerFrame> decodePeerFrame(std::string_view bytes);
     std::optional<PeerDatagram> decodePeerDatagram(std::string_view bytes);
+    /** @return a message on services and targets, which comes as a datagram or as a frame */
+    std::optional<FleetMessage> decodeFleetMessage(std::string_view bytes);
     /** @param target the target at the other end of the connection */
     std::optional<TargetEvent> decodeTargetEvent(std::string_view bytes, TargetId target);
 
@@ -124,6 +127,8 @@
 std::vector<PeerFrame> framesOf(const PeerConfigMessage &message);
 /** @return the datagram of a peer message */
 std::string encodePeerDatagram(const PeerDatagram &datagram);
+/** @return a datagram or, when it is longer than MaxDatagram, a frame */
+std::string encodeFleetMessage(const FleetMessage &message);
 /** @return the frame of a call to a target */
 std::string encodeTargetCall(const TargetCall &call);
 
--- /dev/null
+++ b/src/link/wirefleet.cpp
@@ -0,0 +1,204 @@
+#include "link/wireenvelope.h"
+#include "poplarroad/visitor.h"
+
+namespace poplarroad
+{
+
+namespace
+{
+
+void writeServices(schema::ServiceMap::Builder to, const ServiceMap &services)
+{
+    to.setVersion(services.version);
+    to.setIdleTimeoutMs(static_cast<std::uint32_t>(services.idleTimeout.count()));
+    auto routes = to.initRoutes(static_cast<unsigned>(services.routes.size()));
+    unsigned next = 0;
+    for (const auto &[address, route] : services.routes) {
+        auto each = routes[next++];
+        each.setIp(address.ip);
+        each.setPort(address.port);
+        each.setKind(static_cast<std::uint8_t>(route.kind));
+        each.setUrgency(static_cast<std::uint8_t>(route.urgency));
+        each.setDeadlineMs(static_cast<std::uint32_t>(route.deadline.count()));
+        each.setLatencyGoalMs(static_cast<std::uint32_t>(route.latencyGoal.count()));
+        auto weighted = each.initServices(static_cast<unsigned>(route.services.size()));
+        for (unsigned i = 0; i < weighted.size(); ++i) {
+            weighted[i].setService(route.services[i].service.value);
+            weighted[i].setWeight(route.services[i].weight);
+        }
+    }
+}
+
+ServiceMapPtr readServices(schema::ServiceMap::Reader from)
+{
+    auto services = std::make_shared<ServiceMap>();
+    services->version = from.getVersion();
+    services->idleTimeout = Milliseconds(from.getIdleTimeoutMs());
+    for (const auto each : from.getRoutes()) {
+        ServiceRoute route;
+        route.address = { each.getIp(), each.getPort() };
+        route.kind = wire::checkedEnum<RequestKind>(each.getKind());
+        route.urgency = wire::checkedEnum<Urgency>(each.getUrgency());
+        route.deadline = Milliseconds(each.getDeadlineMs());
+        route.latencyGoal = Milliseconds(each.getLatencyGoalMs());
+        for (const auto weighted : each.getServices()) {
+            route.services.push_back({ ServiceId{ weighted.getService() }, weighted.getWeight() });
+        }
+        if (route.services.empty()) {
+            throw wire::Refused{ WireError::InvalidValue };
+        }
+        services->routes.insert_or_assign(route.address, std::move(route));
+    }
+    return services;
+}
+
+void writeTarget(schema::ListedTarget::Builder to, const TargetChange &change)
+{
+    const ListedTarget &listed = change.target;
+    to.setId(listed.target.id.value);
+    to.setInstance(listed.instance);
+    to.setRevision(change.revision.value);
+    to.setService(listed.target.service.value);
+    to.setZone(listed.target.zone.value);
+    to.setIp(listed.target.address.ip);
+    to.setPort(listed.target.address.port);
+    to.setSlots(listed.target.slots);
+    to.setWarmupMs(static_cast<std::uint32_t>(listed.warmup.count()));
+    to.setState(static_cast<std::uint8_t>(listed.target.state));
+    to.setListing(static_cast<std::uint8_t>(change.listing));
+    to.setName(listed.target.name);
+}
+
+TargetChange readTarget(schema::ListedTarget::Reader from)
+{
+    TargetChange change;
+    change.revision = Revision{ from.getRevision() };
+    change.listing = wire::checkedEnum<Listing>(from.getListing());
+    ListedTarget &listed = change.target;
+    listed.instance = from.getInstance();
+    listed.warmup = Milliseconds(from.getWarmupMs());
+    listed.target.id = TargetId{ from.getId() };
+    listed.target.name = from.getName();
+    listed.target.service = ServiceId{ from.getService() };
+    listed.target.zone = ZoneId{ from.getZone() };
+    listed.target.address = { from.getIp(), from.getPort() };
+    listed.target.slots = from.getSlots();
+    listed.target.state = wire::checkedEnum<TargetState>(from.getState());
+    return change;
+}
+
+void writeBeacon(schema::DirectoryBeacon::Builder to, const DirectoryBeacon &beacon)
+{
+    to.setFollowerIp(beacon.follower.ip);
+    to.setFollowerPort(beacon.follower.port);
+    to.setRelayed(beacon.relayed);
+    to.setRank(beacon.rank);
+    to.setServiceVersion(beacon.serviceVersion);
+    to.setTargets(beacon.targets.value);
+    to.setContactAgeMs(beacon.contactAgeMs);
+}
+
+DirectoryBeacon readBeacon(schema::DirectoryBeacon::Reader from)
+{
+    return { { from.getFollowerIp(), from.getFollowerPort() },
+             from.getRank(),
+             from.getServiceVersion(),
+             Revision{ from.getTargets() },
+             from.getContactAgeMs(),
+             from.getRelayed() };
+}
+
+void writeContent(schema::DirectoryContent::Builder to, const DirectoryContent &content)
+{
+    if (content.services) {
+        writeServices(to.initServices(), *content.services);
+    }
+    to.setTargetsAfter(content.targetsAfter.value);
+    to.setTargetsRevision(content.targets.revision.value);
+    to.setTargetsComplete(content.targets.complete);
+    auto targets = to.initTargets(static_cast<unsigned>(content.targets.changes.size()));
+    for (unsigned i = 0; i < targets.size(); ++i) {
+        writeTarget(targets[i], content.targets.changes[i]);
+    }
+}
+
+DirectoryContent readContent(schema::DirectoryContent::Reader from)
+{
+    DirectoryContent content;
+    if (from.hasServices()) {
+        content.services = readServices(from.getServices());
+    }
+    content.targetsAfter = Revision{ from.getTargetsAfter() };
+    content.targets.revision = Revision{ from.getTargetsRevision() };
+    content.targets.complete = from.getTargetsComplete();
+    for (const auto target : from.getTargets()) {
+        content.targets.changes.push_back(readTarget(target));
+    }
+    return content;
+}
+
+void writeReport(schema::Envelope::Builder envelope, const LoadReport &report)
+{
+    auto loads = envelope.initLoadReport(static_cast<unsigned>(report.loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+        const TargetLoad &load = report.loads[i];
+        loads[i].setTarget(load.target.value);
+        loads[i].setFlows(load.flows);
+        loads[i].setBusy(load.busy);
+        loads[i].setRepeating(load.repeating);
+        loads[i].setSinceProgressMs(load.sinceProgressMs);
+    }
+}
+
+LoadReport readReport(schema::Envelope::Reader envelope)
+{
+    LoadReport report;
+    for (const auto load : envelope.getLoadReport()) {
+        report.loads.push_back({ TargetId{ load.getTarget() }, load.getFlows(), load.getBusy(), load.getRepeating(),
+                                 load.getSinceProgressMs() });
+    }
+    return report;
+}
+
+FleetMessage readFleetMessage(schema::Envelope::Reader envelope)
+{
+    switch (envelope.which()) {
+    case schema::Envelope::DIRECTORY_BEACON:
+        return readBeacon(envelope.getDirectoryBeacon());
+    case schema::Envelope::DIRECTORY_REQUEST:
+        return DirectoryRequest{ envelope.getDirectoryRequest().getServiceVersion(),
+                                 Revision{ envelope.getDirectoryRequest().getTargets() } };
+    case schema::Envelope::DIRECTORY_CONTENT:
+        return readContent(envelope.getDirectoryContent());
+    case schema::Envelope::LOAD_REPORT:
+        return readReport(envelope);
+    default:
+        throw wire::Refused{ WireError::UnexpectedKind };
+    }
+}
+
+} // namespace
+
+std::string encodeFleetMessage(const FleetMessage &message)
+{
+    return wire::write([&](auto envelope) {
+        std::visit(Visitor{
+                       [&](const DirectoryBeacon &beacon) { writeBeacon(envelope.initDirectoryBeacon(), beacon); },
+                       [&](const DirectoryRequest &request) {
+                           auto to = envelope.initDirectoryRequest();
+                           to.setServiceVersion(request.serviceVersion);
+                           to.setTargets(request.targets.value);
+                       },
+                       [&](const DirectoryContent &content) { writeContent(envelope.initDirectoryContent(), content); },
+                       [&](const LoadReport &report) { writeReport(envelope, report); },
+                   },
+                   message);
+    });
+}
+
+std::optional<FleetMessage> WireCodec::decodeFleetMessage(std::string_view bytes)
+{
+    return wire::read<FleetMessage>(bytes, lastError_, [](auto envelope) { return readFleetMessage(envelope); });
+}
+
+} // namespace poplarroad
--- a/src/service/directoryfeed.cpp
+++ b/src/service/directoryfeed.cpp
@@ -15,7 +15,7 @@
     if (revision_.value == 0) {
         return Due{ ReadPart{}, number_ };
     }
-    return Due{ WatchPart{ revision_, WatchWait }, number_ };
+    return Due{ WatchPart{ revision_, wait_ }, number_ };
 }
 
 bool DirectoryFeed::onAnswer(std::uint64_t number, const DirectoryAnswer &answer, TimePoint now)
@@ -24,11 +24,9 @@
         return false;
     }
     inProgress_ = false;
-    if (answer.error == StoreError::NotFound || answer.error == StoreError::Malformed) {
-        // The history is gone, or the answer cannot be followed: only a whole read helps.
-        revision_ = {};
-    }
     if (answer.error) {
+        // The history may be gone, and a watch from an old revision can hear nothing: a whole read is certain.
+        revision_ = {};
         backOff(now);
         return false;
     }
@@ -43,11 +41,6 @@
     return true;
 }
 
-void DirectoryFeed::onPeerContent(Revision revision)
-{
-    revision_ = std::max(revision_, revision);
-}
-
 void DirectoryFeed::setFollowing(bool following, TimePoint now)
 {
     if (following == following_) {
@@ -55,7 +48,7 @@
     }
     following_ = following;
     if (following) {
-        due_ = now;
+        restart(now);
     } else if (revision_.value != 0) {
         due_ = TimePoint::max();
         inProgress_ = false;
--- a/src/service/directoryfeed.h
+++ b/src/service/directoryfeed.h
@@ -34,8 +34,6 @@
 class DirectoryFeed
 {
 public:
-    /** How long the store holds a watch; each one that runs out costs a call. */
-    static constexpr Milliseconds WatchWait{ 10000 };
     /** Pause after news, so that changes in quick succession come in one answer. */
     static constexpr Milliseconds NewsPause{ 150 };
     /** First pause after a failed call; doubles up to LongestBackoff. */
@@ -43,8 +41,10 @@
     /** Entries that lapsed are back within 2 s of the store's return, so it has to be noticed well before. */
     static constexpr Milliseconds LongestBackoff{ 800 };
 
-    explicit DirectoryFeed(std::uint64_t seed)
-        : random_(seed)
+    /** @param wait how long the store holds a watch; each one that runs out costs a call, and shows that it is there */
+    DirectoryFeed(Milliseconds wait, std::uint64_t seed)
+        : wait_(wait)
+        , random_(seed)
     {
     }
 
@@ -58,8 +58,6 @@
     std::optional<Due> next(TimePoint now);
     /** Takes the answer of a call. @return whether it belongs to the last call and is to be used */
     bool onAnswer(std::uint64_t number, const DirectoryAnswer &answer, TimePoint now);
-    /** Takes the content of a peer up to a revision, so that a watch starts there. */
-    void onPeerContent(Revision revision);
     /** Watches, or leaves that to another balancer. The whole part is read once in any case. */
     void setFollowing(bool following, TimePoint now);
     /** Forgets the call in progress, which may never be answered, and reads the whole part. */
@@ -81,6 +79,7 @@
 private:
     void backOff(TimePoint now);
 
+    Milliseconds wait_;
     SeededRandom random_;
     Revision revision_; ///< everything up to it is known; 0 before the first answer
     bool following_ = true;
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -174,15 +174,48 @@
 void FlowRouter::observeRepeat(PacketFlow &flow, TimePoint now)
 {
     TargetEvidence &evidence = targets_.at(flow.target).evidence;
-    const bool wasSilent = evidence.belief() == TargetBelief::Silent;
+    const TargetBelief before = evidence.belief();
     evidence.onRepeat(flow.repeats == 0, flow.open ? flow.waitingSince : flow.openedAt, now);
     flow.repeats += flow.repeats < UINT8_MAX ? 1 : 0;
-    if (!wasSilent && evidence.belief() == TargetBelief::Silent) {
-        lost_.insert(flow.target);
+    noteBelief(flow.target, before, now);
+}
+
+void FlowRouter::noteBelief(TargetIndex target, TargetBelief before, TimePoint now)
+{
+    if (before != TargetBelief::Silent && targets_.at(target).evidence.belief() == TargetBelief::Silent) {
+        lost_.insert(target);
         nextTimer_ = now;
     }
 }
 
+LoadReport FlowRouter::report(TimePoint now) const
+{
+    LoadReport report;
+    for (const auto &[id, index] : targets_.byId()) {
+        const TargetEntry &target = targets_.at(index);
+        if (target.flows == 0 && target.evidence.repeating() == 0) {
+            continue;
+        }
+        report.loads.push_back({ id, static_cast<std::uint16_t>(target.flows), static_cast<std::uint16_t>(target.busy),
+                                 static_cast<std::uint16_t>(target.evidence.repeating()),
+                                 target.evidence.sinceProgressMs(now) });
+    }
+    return report;
+}
+
+void FlowRouter::onPeerReport(const HostAddress &peer, const LoadReport &report, TimePoint now)
+{
+    peerLoads_.take(peer, report, now, targets_);
+    for (const TargetLoad &load : report.loads) {
+        if (const auto index = targets_.find(load.target)) {
+            TargetEvidence &evidence = targets_.at(*index).evidence;
+            const TargetBelief before = evidence.belief();
+            evidence.onPeerReport(peer.key(), load.repeating, Milliseconds(load.sinceProgressMs), now);
+            noteBelief(*index, before, now);
+        }
+    }
+}
+
 ServiceId FlowRouter::serviceOf(const ServiceRoute &route, const Packet &packet) const
 {
     std::uint64_t sum = 0;
@@ -245,6 +278,7 @@
 void FlowRouter::onTimer(TimePoint now, std::vector<ResetFlow> &resets)
 {
     endLostFlows(resets);
+    peerLoads_.expire(now, targets_);
     if (services_ && now >= nextExpiry_) {
         flows_.expire(now - services_->idleTimeout - expirySlack);
         nextExpiry_ = now + expiryPeriod;
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -4,6 +4,7 @@
 #include "poplarroad/directory.h"
 #include "poplarroad/packet.h"
 #include "service/packetflows.h"
+#include "target/peerloads.h"
 #include "target/targettable.h"
 #include "zone/seededrandom.h"
 
@@ -102,6 +103,10 @@
     {
         return nextTimer_;
     }
+    /** @return what this balancer sees of the targets that its flows use */
+    LoadReport report(TimePoint now) const;
+    /** Takes what another balancer of the zone sees. */
+    void onPeerReport(const HostAddress &peer, const LoadReport &report, TimePoint now);
     const TargetTable &targets() const
     {
         return targets_;
@@ -119,6 +124,8 @@
     void observe(PacketFlow &flow, const Packet &packet, TimePoint now);
     /** Counts a packet that the caller sent again. */
     void observeRepeat(PacketFlow &flow, TimePoint now);
+    /** Marks the flows of a target that has become silent for their end. */
+    void noteBelief(TargetIndex target, TargetBelief before, TimePoint now);
     /** Ends the flows of targets that became silent or are gone. */
     void endLostFlows(std::vector<ResetFlow> &resets);
     ServiceId serviceOf(const ServiceRoute &route, const Packet &packet) const;
@@ -134,6 +141,7 @@
     absl::flat_hash_set<HostAddress> removedRoutes_;
     TargetTable targets_;
     PacketFlows flows_;
+    PeerLoads peerLoads_;
     absl::flat_hash_set<TargetIndex> lost_; ///< targets whose flows have to end
     TimePoint nextExpiry_;
     TimePoint nextTimer_;
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_SERVICE_TARGETREPLICA_H
 #define POPLARROAD_SERVICE_TARGETREPLICA_H
 
-#include "poplarroad/directory.h"
+#include "poplarroad/fleetmessages.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -12,16 +12,6 @@
 namespace poplarroad
 {
 
-/** Changes of the target list, for a reader of the replica or for a peer. */
-struct TargetUpdate
-{
-    Revision revision; ///< of the list after the changes
-    bool complete = false; ///< the changes are the whole list
-    std::vector<TargetChange> changes;
-
-    friend bool operator==(const TargetUpdate &, const TargetUpdate &) = default;
-};
-
 /**
  * The list of targets as the store had it at a revision.
  *
@@ -45,6 +35,11 @@
     {
         return revision_;
     }
+    /** @return the revision of the last change */
+    Revision lastChange() const
+    {
+        return log_.empty() ? logStart_ : log_.back().revision;
+    }
     /** @return what a peer lacks that knows the list up to `after`; 0 for a peer that knows nothing */
     TargetUpdate since(Revision after) const;
     std::size_t size() const
--- a/src/target/targetevidence.h
+++ b/src/target/targetevidence.h
@@ -5,6 +5,7 @@
 #include "poplarroad/enumnames.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace poplarroad
 {
@@ -56,6 +57,19 @@
      * @param waitingSince when the caller sent the packet first
      */
     void onRepeat(bool firstOfFlow, TimePoint waitingSince, TimePoint now);
+    /**
+     * Takes what another balancer sees: its repeating flows count like those here, and its progress too.
+     *
+     * @param peer any number that identifies the balancer
+     * @param sinceProgress time since it saw progress, before the report was sent
+     */
+    void onPeerReport(std::uint64_t peer, std::uint32_t repeating, Milliseconds sinceProgress, TimePoint now);
+    /** @return flows that sent again here since the last progress */
+    std::uint32_t repeating() const
+    {
+        return flows_;
+    }
+    std::uint32_t sinceProgressMs(TimePoint now) const;
     /** @return whether one new flow may go there now although it is not known to answer; it is counted then */
     bool takeTrial(TimePoint now);
     TargetBelief belief() const
@@ -68,14 +82,27 @@
     }
 
 private:
+    struct PeerView
+    {
+        std::uint64_t peer = 0;
+        std::uint32_t repeating = 0;
+        TimePoint at;
+    };
+
+    /** A peer's report older than this says nothing about the present. */
+    static constexpr Milliseconds PeerViewAge{ 500 };
+
     void become(TargetBelief belief, TimePoint now);
+    std::uint32_t repeatingElsewhere(TimePoint now) const;
+    void judge(TimePoint now);
 
     TargetBelief belief_ = TargetBelief::Answering;
     TimePoint since_;
     TimePoint lastProgress_;
     TimePoint waitingSince_; ///< of the oldest packet that was sent again since the last progress
     TimePoint lastTrial_;
-    std::uint32_t flows_ = 0; ///< that sent again since the last progress
+    std::uint32_t flows_ = 0; ///< that sent again here since the last progress
+    std::vector<PeerView> peers_;
 };
 
 } // namespace poplarroad
--- a/src/target/targettable.h
+++ b/src/target/targettable.h
@@ -58,9 +58,9 @@
     }
     /** @return the targets of a service that are present or lapsed, in a fixed order */
     const std::vector<TargetIndex> &ofService(ServiceId service) const;
-    std::size_t size() const
+    const absl::flat_hash_map<TargetId, TargetIndex> &byId() const
     {
-        return byId_.size();
+        return byId_;
     }
 
 private:
