--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -25,6 +25,9 @@
     return std::chrono::steady_clock::now();
 }
 
+/** Balancers that get a message of which one receiver would be enough. */
+constexpr std::size_t fewPeers = 3;
+
 /** Hosts with more processor follow the store for the others. */
 std::uint64_t rankOf(const Settings &settings)
 {
@@ -47,6 +50,9 @@
     , source_(makeSource(loop_))
     , feeds_{ DirectoryFeed(servicesWait, std::random_device()()), DirectoryFeed(targetsWait, std::random_device()()) }
     , self_(settings.peers)
+    , seeds_(settings.seeds)
+    , random_(std::random_device()())
+    , startedAt_(now())
     , zone_(zoneIdOf(settings.zone))
     , share_(settings.peers, rankOf(settings))
     , timer_(loop_, [this] { advance(); })
@@ -99,7 +105,8 @@
     if (follows) {
         sendBeacon(time);
     }
-    TimePoint next = std::min(targets_.nextTimer(), share_.nextTimer(time));
+    askPeers(time);
+    TimePoint next = std::min({ targets_.nextTimer(), share_.nextTimer(time), nextAsk_ });
     for (const auto &[part, name] : EnumNames<DirectoryPart>::table) {
         if (const auto due = feed(part).next(time)) {
             call(part, *due);
@@ -225,8 +232,11 @@
     const std::uint64_t version = services_ ? services_->version : 0;
     const Revision before = targets_.revision();
     bool news = content.services && takeServices(content.services);
+    if (content.targets.complete) {
+        peerAnswered_ = true;
+    }
     // Changes that do not follow the list are left out; the next beacon makes this balancer ask for all of them.
-    if (before.value != 0 && (content.targets.complete || content.targetsAfter <= before)) {
+    if (content.targets.complete || (before.value != 0 && content.targetsAfter <= before)) {
         news = takeTargets(content.targets) || news;
     }
     if (news && received.zone != zone_) {
@@ -240,10 +250,34 @@
         std::vector<HostAddress> hosts = zoneMembers();
         const std::vector<HostAddress> others = gateways();
         hosts.insert(hosts.end(), others.begin(), others.end());
+        // Without contact every balancer sends beacons, each to a few.
+        if (Milliseconds(beacon->contactAgeMs) >= DirectoryShare::FreshContact) {
+            random_.shuffle(hosts);
+            hosts.resize(std::min(hosts.size(), fewPeers));
+        }
         receivers_.toPeers({ std::move(hosts), *beacon });
     }
 }
 
+void DirectoryTask::askPeers(TimePoint time)
+{
+    if (peerAnswered_ || time - startedAt_ > DirectoryShare::JoinTime) {
+        nextAsk_ = TimePoint::max();
+        return;
+    }
+    if (time < nextAsk_) {
+        return;
+    }
+    nextAsk_ = time + DirectoryShare::RequestTimeout;
+    std::vector<HostAddress> hosts = zoneMembers();
+    for (const auto &more : { gateways(), seeds_ }) {
+        std::copy_if(more.begin(), more.end(), std::back_inserter(hosts),
+                     [&](const HostAddress &host) { return host != self_; });
+    }
+    hosts.resize(std::min(hosts.size(), fewPeers));
+    receivers_.toPeers({ std::move(hosts), DirectoryRequest{} });
+}
+
 void DirectoryTask::sendContent(std::vector<HostAddress> hosts, std::uint64_t serviceVersion, Revision targets)
 {
     if (hosts.empty() || !ready_) {
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -60,6 +60,8 @@
     /** Sends what is newer than the given state. */
     void sendContent(std::vector<HostAddress> hosts, std::uint64_t serviceVersion, Revision targets);
     DirectoryState state() const;
+    /** Asks others for all that they know, while this balancer is new. */
+    void askPeers(TimePoint time);
     std::vector<HostAddress> zoneMembers() const;
     std::vector<HostAddress> gateways() const;
     void publish(const TargetUpdate &news);
@@ -78,6 +80,11 @@
     ServiceMapPtr services_;
     TargetReplica targets_;
     HostAddress self_;
+    std::vector<HostAddress> seeds_;
+    SeededRandom random_;
+    TimePoint startedAt_;
+    TimePoint nextAsk_;
+    bool peerAnswered_ = false;
     ZoneId zone_;
     DirectoryShare share_;
     std::shared_ptr<const FleetView> view_;
--- a/src/service/directoryshare.cpp
+++ b/src/service/directoryshare.cpp
@@ -52,17 +52,18 @@
 
 std::optional<DirectoryBeacon> DirectoryShare::beacon(const DirectoryState &state, TimePoint now)
 {
-    if (now < nextBeacon_ || !follows(now) || !state.contact) {
+    if (now < nextBeacon_ || !follows(now)) {
         return std::nullopt;
     }
     nextBeacon_ = now + BeaconPeriod;
-    const auto age = std::chrono::duration_cast<Milliseconds>(now - *state.contact);
-    if (age >= FreshContact) {
-        return std::nullopt;
-    }
-    return DirectoryBeacon{
-        self_, rank_, state.serviceVersion, state.targets, static_cast<std::uint32_t>(age.count()), false
-    };
+    constexpr Milliseconds longestAge{ 3'600'000 };
+    const auto age = state.contact ? std::chrono::duration_cast<Milliseconds>(now - *state.contact) : longestAge;
+    return DirectoryBeacon{ self_,
+                            rank_,
+                            state.serviceVersion,
+                            state.targets,
+                            static_cast<std::uint32_t>(std::min(age, longestAge).count()),
+                            false };
 }
 
 TimePoint DirectoryShare::nextTimer(TimePoint now) const
--- a/src/service/directoryshare.h
+++ b/src/service/directoryshare.h
@@ -35,6 +35,8 @@
     static constexpr Milliseconds FreshContact{ 1600 };
     /** How long content that was asked for may take before it is asked for again. */
     static constexpr Milliseconds RequestTimeout{ 200 };
+    /** How long a balancer that starts asks others for what they know, which the store may not have at the moment. */
+    static constexpr Milliseconds JoinTime{ 2000 };
     /** After this, the store is asked instead of the peer. */
     static constexpr Milliseconds PeerPatience{ 500 };
 
@@ -49,7 +51,11 @@
     Reaction onBeacon(const DirectoryBeacon &beacon, const DirectoryState &state, TimePoint now);
     /** @return whether this balancer has to follow the store itself */
     bool follows(TimePoint now) const;
-    /** @return the beacon to send now, if one is due */
+    /**
+     * The beacon is due without contact to the store too, so that balancers of which none reaches it learn from each other.
+     *
+     * @return the beacon to send now, if one is due
+     */
     std::optional<DirectoryBeacon> beacon(const DirectoryState &state, TimePoint now);
     /** @return when follows() or beacon() can change */
     TimePoint nextTimer(TimePoint now) const;
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -10,6 +10,11 @@
 TargetUpdate TargetReplica::apply(const TargetUpdate &update, TimePoint now)
 {
     TargetUpdate news;
+    for (const TargetChange &change : update.changes) {
+        if (change.listing == Listing::Lapsed) {
+            adopt(change, now, news);
+        }
+    }
     if (update.revision < revision_) {
         // An answer that overtook a newer one.
         news.revision = revision_;
@@ -22,7 +27,9 @@
     if (update.complete) {
         absl::flat_hash_set<TargetId> named;
         for (const TargetChange &change : update.changes) {
-            named.insert(change.target.target.id);
+            if (change.listing == Listing::Present) {
+                named.insert(change.target.target.id);
+            }
         }
         std::vector<TargetId> missing;
         for (const auto &[id, entry] : entries_) {
@@ -47,6 +54,9 @@
 void TargetReplica::take(const TargetChange &change, TimePoint now, TargetUpdate &news)
 {
     const TargetId id = change.target.target.id;
+    if (change.listing == Listing::Lapsed) {
+        return;
+    }
     if (change.listing == Listing::Gone) {
         lose(id, change.revision, now, news);
         return;
@@ -63,6 +73,17 @@
     news.changes.push_back(std::move(present));
 }
 
+void TargetReplica::adopt(const TargetChange &lapsed, TimePoint now, TargetUpdate &news)
+{
+    const TargetId id = lapsed.target.target.id;
+    if (entries_.contains(id) || lapsed_.contains(id)) {
+        return;
+    }
+    lapsed_.insert_or_assign(id, lapsed.target);
+    lapses_.push_back({ id, now + LapseTime });
+    news.changes.push_back(lapsed);
+}
+
 void TargetReplica::lose(TargetId target, Revision revision, TimePoint now, TargetUpdate &news)
 {
     const auto known = entries_.find(target);
@@ -123,6 +144,9 @@
         for (const auto &[id, entry] : entries_) {
             update.changes.push_back({ revision_, Listing::Present, entry });
         }
+        for (const auto &[id, entry] : lapsed_) {
+            update.changes.push_back({ revision_, Listing::Lapsed, entry });
+        }
         return update;
     }
     const auto first = std::find_if(log_.begin(), log_.end(),
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -59,6 +59,8 @@
     };
 
     void take(const TargetChange &change, TimePoint now, TargetUpdate &news);
+    /** Uses an entry on that lapsed at a peer and that this replica does not know. */
+    void adopt(const TargetChange &lapsed, TimePoint now, TargetUpdate &news);
     void lose(TargetId target, Revision revision, TimePoint now, TargetUpdate &news);
     void log(const TargetChange &change);
 
