--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -2,8 +2,6 @@
 
 #include "poplarroad/visitor.h"
 
-#include <log4cxx/logger.h>
-
 #include <algorithm>
 #include <random>
 
@@ -35,18 +33,13 @@
     return static_cast<std::uint64_t>(settings.processorShare * steps);
 }
 
-log4cxx::LoggerPtr logger()
-{
-    static const log4cxx::LoggerPtr result = log4cxx::Logger::getLogger("poplarroad.directory");
-    return result;
-}
-
 } // namespace
 
 DirectoryTask::DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers,
-                             CounterSet &counters)
+                             CounterSet &counters, LogSink &logSink)
     : receivers_(std::move(receivers))
     , counters_(counters)
+    , log_(logSink)
     , source_(makeSource(loop_))
     , feeds_{ DirectoryFeed(servicesWait, std::random_device()()), DirectoryFeed(targetsWait, std::random_device()()) }
     , self_(settings.peers)
@@ -97,7 +90,7 @@
     const bool follows = share_.follows(time) && !leaving_;
     if (follows != following_) {
         following_ = follows;
-        LOG4CXX_INFO(logger(), "following store=" << (follows ? "yes" : "no"));
+        log_.write(LogEvent::FollowStore, time, { { "follows", follows } });
     }
     for (DirectoryFeed &each : feeds_) {
         each.setFollowing(follows, time);
@@ -131,10 +124,7 @@
 
 void DirectoryTask::onAnswer(DirectoryPart part, std::uint64_t number, DirectoryAnswer answer)
 {
-    if (answer.error) {
-        counters_.add(Counter::StoreFailures);
-        LOG4CXX_WARN(logger(), "store-call part=" << nameOf(part) << " outcome=" << nameOf(*answer.error));
-    }
+    noteStore(part, answer.error);
     if (feed(part).onAnswer(number, answer, now())) {
         const std::uint64_t version = services_ ? services_->version : 0;
         const Revision before = targets_.revision();
@@ -152,6 +142,22 @@
     advance();
 }
 
+void DirectoryTask::noteStore(DirectoryPart part, const std::optional<StoreError> &error)
+{
+    if (error) {
+        counters_.add(Counter::StoreFailures);
+    }
+    if (storeReachable_ == !error) {
+        return;
+    }
+    storeReachable_ = !error;
+    if (error) {
+        log_.write(LogEvent::StoreLost, now(), { { "part", nameOf(part) }, { "reason", nameOf(*error) } });
+    } else {
+        log_.write(LogEvent::StoreRegained, now(), { { "part", nameOf(part) } });
+    }
+}
+
 bool DirectoryTask::takeServices(const ServiceMapPtr &services)
 {
     // Versions never go back within one life of the process.
@@ -159,7 +165,9 @@
         return false;
     }
     services_ = services;
-    LOG4CXX_INFO(logger(), "services version=" << services->version << " routes=" << services->routes.size());
+    log_.write(LogEvent::ServicesInForce, now(),
+               { { "version", static_cast<std::int64_t>(services->version) },
+                 { "routes", static_cast<std::int64_t>(services->routes.size()) } });
     receivers_.toPackets(ServicesInForce{ services });
     checkReady();
     return true;
@@ -177,7 +185,9 @@
 {
     if (!ready_ && services_ && targets_.revision().value != 0) {
         ready_ = true;
-        LOG4CXX_INFO(logger(), "ready targets=" << targets_.size());
+        log_.write(LogEvent::Ready, now(),
+                   { { "version", static_cast<std::int64_t>(services_->version) },
+                     { "targets", static_cast<std::int64_t>(targets_.size()) } });
         receivers_.ready();
     }
 }
@@ -188,10 +198,12 @@
         return;
     }
     for (const TargetChange &change : news.changes) {
-        LOG4CXX_INFO(logger(),
-                     "target id=" << std::hex << change.target.target.id.value << std::dec << " listing="
-                                  << nameOf(change.listing) << " state=" << nameOf(change.target.target.state)
-                                  << " revision=" << change.revision.value);
+        log_.write(LogEvent::TargetListed, now(),
+                   { { "target", static_cast<std::int64_t>(change.target.target.id.value) },
+                     { "name", change.target.target.name },
+                     { "listing", nameOf(change.listing) },
+                     { "state", nameOf(change.target.target.state) },
+                     { "revision", static_cast<std::int64_t>(change.revision.value) } });
     }
     receivers_.toPackets(news);
 }
@@ -321,7 +333,7 @@
 
 void DirectoryTask::onPaused()
 {
-    LOG4CXX_WARN(logger(), "paused; reading the directory again");
+    log_.write(LogEvent::Paused, now(), {});
     for (DirectoryFeed &each : feeds_) {
         each.restart(now());
     }
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -2,6 +2,7 @@
 #define POPLARROAD_HOST_DIRECTORYTASK_H
 
 #include "counters.h"
+#include "eventlog.h"
 #include "link/directorysource.h"
 #include "mailbox.h"
 #include "packettask.h"
@@ -37,7 +38,7 @@
     };
 
     DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers,
-                  CounterSet &counters);
+                  CounterSet &counters, LogSink &logSink);
 
     void start();
     /** Callable from any thread. */
@@ -47,6 +48,7 @@
 private:
     void handle(DirectoryTaskMessage &&message);
     void advance();
+    void noteStore(DirectoryPart part, const std::optional<StoreError> &error);
     void call(DirectoryPart part, const DirectoryFeed::Due &due);
     void onAnswer(DirectoryPart part, std::uint64_t number, DirectoryAnswer answer);
     /** @return whether the services are newer than those in force */
@@ -74,6 +76,7 @@
 
     Receivers receivers_;
     CounterSet &counters_;
+    EventLog log_;
     EventLoop loop_;
     std::unique_ptr<DirectorySource> source_;
     std::array<DirectoryFeed, EnumNames<DirectoryPart>::table.size()> feeds_;
@@ -89,6 +92,7 @@
     DirectoryShare share_;
     std::shared_ptr<const FleetView> view_;
     bool following_ = true;
+    bool storeReachable_ = true;
     bool leaving_ = false;
     bool ready_ = false;
     LoopTimer timer_;
--- a/src/host/metricstask.cpp
+++ b/src/host/metricstask.cpp
@@ -16,18 +16,13 @@
 
 } // namespace
 
-MetricsTask::MetricsTask(const HostAddress &address, std::vector<const CounterSet *> sets,
-                         ReadinessEndpoint readiness)
+MetricsTask::MetricsTask(const HostAddress &address, std::vector<const CounterSet *> sets)
     : sets_(std::move(sets))
-    , readiness_(std::move(readiness))
     , server_(evhtp_new(loop_.base(), nullptr))
     , bound_(evhtp_bind_socket(server_, ipOf(address).c_str(), address.port, 16) == 0)
     , mailbox_(loop_, [this](StopTask &&) { loop_.stop(); })
 {
     evhtp_set_cb(server_, "/metrics", &MetricsTask::onRequest, this);
-    if (!readiness_.path.empty()) {
-        evhtp_set_cb(server_, readiness_.path.c_str(), &MetricsTask::onReadiness, this);
-    }
 }
 
 MetricsTask::~MetricsTask()
@@ -60,10 +55,4 @@
     evhtp_send_reply(request, EVHTP_RES_OK);
 }
 
-void MetricsTask::onReadiness(evhtp_request *request, void *self)
-{
-    const bool ready = static_cast<MetricsTask *>(self)->readiness_.ready->load();
-    evhtp_send_reply(request, ready ? EVHTP_RES_OK : EVHTP_RES_SERVUNAVAIL);
-}
-
 } // namespace poplarroad
--- a/src/host/metricstask.h
+++ b/src/host/metricstask.h
@@ -7,9 +7,7 @@
 #include "taskmessages.h"
 #include "taskthread.h"
 
-#include <atomic>
 #include <memory>
-#include <string>
 #include <vector>
 
 struct evhtp;
@@ -18,19 +16,12 @@
 namespace poplarroad
 {
 
-/** Where the fabric asks whether this balancer takes packets. */
-struct ReadinessEndpoint
-{
-    std::string path; ///< empty: none
-    const std::atomic<bool> *ready = nullptr; ///< set by the host while the balancer takes new work
-};
-
-/** Serves the counters by HTTP at /metrics in Prometheus' text format, and the readiness. */
+/** Serves the counters by HTTP at /metrics in Prometheus' text format. */
 class MetricsTask
 {
 public:
     /** @param sets counters of the other tasks, which outlive this one */
-    MetricsTask(const HostAddress &address, std::vector<const CounterSet *> sets, ReadinessEndpoint readiness = {});
+    MetricsTask(const HostAddress &address, std::vector<const CounterSet *> sets);
     ~MetricsTask();
     MetricsTask(const MetricsTask &) = delete;
     MetricsTask &operator=(const MetricsTask &) = delete;
@@ -45,10 +36,8 @@
 
 private:
     static void onRequest(evhtp_request *request, void *self);
-    static void onReadiness(evhtp_request *request, void *self);
 
     std::vector<const CounterSet *> sets_;
-    ReadinessEndpoint readiness_;
     EventLoop loop_;
     evhtp *server_;
     bool bound_;
--- a/src/host/packethost.cpp
+++ b/src/host/packethost.cpp
@@ -1,35 +1,25 @@
 #include "host/packethost.h"
 
-#include <log4cxx/logger.h>
-
+#include <iostream>
 #include <thread>
 
 namespace poplarroad
 {
 
-namespace
-{
-
-log4cxx::LoggerPtr logger()
-{
-    return log4cxx::Logger::getLogger("poplarroad.host");
-}
-
-} // namespace
-
 PacketHost::PacketHost(const Settings &settings, std::unique_ptr<PacketCodec> codec,
                        const DirectoryTask::SourceFactory &makeSource)
     : settings_(settings)
+    , log_(output_)
     , links_(makeLinks())
     , peers_(settings_, links_, peerCounters_)
     , packets_(settings_, std::move(codec), [this](SendFleetMessage message) { peers_.post(std::move(message)); },
-               packetCounters_)
+               packetCounters_, output_)
     , directory_(settings_, makeSource,
                  { [this](PacketTaskMessage message) { packets_.post(std::move(message)); },
                    [this](SendFleetMessage message) { peers_.post(std::move(message)); }, [this] { ready_ = true; } },
-                 directoryCounters_)
-    , metrics_(settings_.metrics, { &packetCounters_, &directoryCounters_, &peerCounters_ },
-               { settings_.readinessPath, &ready_ })
+                 directoryCounters_, output_)
+    , status_(settings_.metrics, settings_.readinessPath, ready_,
+              { &packetCounters_, &directoryCounters_, &peerCounters_ })
 {
 }
 
@@ -61,17 +51,23 @@
 
 bool PacketHost::start()
 {
-    if (!packets_.bound() || !metrics_.bound() || !peers_.bound()) {
-        LOG4CXX_ERROR(logger(), "Cannot bind " << toString(settings_.callers) << ", " << toString(settings_.metrics) << " or "
-                                              << toString(settings_.peers));
-        return false;
+    for (const auto &[bound, address] : { std::pair(packets_.bound(), settings_.callers),
+                                          std::pair(status_.bound(), settings_.metrics),
+                                          std::pair(peers_.bound(), settings_.peers) }) {
+        if (!bound) {
+            std::cerr << "cannot bind " << toString(address) << '\n';
+            return false;
+        }
     }
     packets_.start();
     directory_.start();
     peers_.start();
-    metrics_.start();
+    status_.start();
     running_ = true;
-    LOG4CXX_INFO(logger(), "start zone=" << settings_.zone << " callers=" << toString(settings_.callers));
+    log_.write(LogEvent::Start, std::chrono::steady_clock::now(),
+               { { "zone", settings_.zone },
+                 { "callers", toString(settings_.callers) },
+                 { "peers", toString(settings_.peers) } });
     return true;
 }
 
@@ -79,11 +75,16 @@
 {
     ready_ = false;
     directory_.post(BeginLeave{});
-    LOG4CXX_INFO(logger(), "stop drain-ms=" << settings_.drainTime.count());
+    log_.write(LogEvent::Stop, std::chrono::steady_clock::now(), { { "drain_ms", settings_.drainTime.count() } });
     std::this_thread::sleep_for(settings_.drainTime);
     stop();
 }
 
+void PacketHost::reload()
+{
+    log_.write(LogEvent::Reload, std::chrono::steady_clock::now(), {});
+}
+
 void PacketHost::stop()
 {
     if (!running_) {
@@ -93,11 +94,11 @@
     peers_.post(StopTask{});
     packets_.post(StopTask{});
     directory_.post(StopTask{});
-    metrics_.stop();
+    status_.stop();
     peers_.join();
     packets_.join();
     directory_.join();
-    metrics_.join();
+    status_.join();
 }
 
 } // namespace poplarroad
--- a/src/host/packethost.h
+++ b/src/host/packethost.h
@@ -2,10 +2,11 @@
 #define POPLARROAD_HOST_PACKETHOST_H
 
 #include "directorytask.h"
-#include "metricstask.h"
+#include "eventlog.h"
 #include "packettask.h"
 #include "peertask.h"
 #include "settings.h"
+#include "statustask.h"
 
 #include <atomic>
 #include <memory>
@@ -27,12 +28,16 @@
     bool start();
     /** Stops gracefully: out of rotation, then packets go on until the routers use other balancers. */
     void leave();
+    /** Tells the log that the settings are to be read again. */
+    void reload();
 
 private:
     void stop();
     TaskLinks makeLinks();
 
     Settings settings_;
+    StandardOutput output_;
+    EventLog log_;
     CounterSet packetCounters_;
     CounterSet directoryCounters_;
     std::atomic<bool> ready_ = false;
@@ -41,7 +46,7 @@
     PeerTask peers_;
     PacketTask packets_;
     DirectoryTask directory_;
-    MetricsTask metrics_;
+    StatusTask status_;
     bool running_ = false;
 };
 
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds reportPeriod{ 150 };
 /** Balancers that get each report; bounds the bytes in a large zone. */
 constexpr std::size_t reportReceivers = 4;
+/** One of this many flows has its placement logged. */
+constexpr std::uint64_t placementSample = 16;
 
 TimePoint now()
 {
@@ -23,11 +25,13 @@
 } // namespace
 
 PacketTask::PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec,
-                       std::function<void(SendFleetMessage)> toPeers, CounterSet &counters)
+                       std::function<void(SendFleetMessage)> toPeers, CounterSet &counters,
+                       LogSink &logSink)
     : callerPort_(settings.callers.port)
     , codec_(std::move(codec))
     , toPeers_(std::move(toPeers))
     , counters_(counters)
+    , log_(logSink)
     , router_(zoneIdOf(settings.zone), std::random_device()())
     , self_(settings.peers)
     , random_(std::random_device()())
@@ -67,6 +71,8 @@
                    [&](const FleetMessageReceived &received) {
                        if (const auto *report = std::get_if<LoadReport>(&received.message)) {
                            router_.onPeerReport(received.from, *report, now());
+                           logJudgements(now());
+                           timer_.armAt(router_.nextTimer());
                        }
                    },
                    [&](const StopTask &) { loop_.stop(); },
@@ -86,13 +92,20 @@
     std::visit(Visitor{
                    [&](const ForwardPacket &forward) {
                        counters_.add(Counter::PacketsForwarded);
+                       if (packet->opens) {
+                           logPlacement(*packet, forward, time);
+                       }
                        const PacketHead head = codec_->headFor(*forward.target, forward.tag, datagram);
                        socket_.forward(forward.target->address, head.view(), datagram.substr(head.replaces));
                    },
                    [&](const ResetFlow &flow) { reset(flow); },
-                   [&](const DropPacket &) { counters_.add(Counter::PacketsDropped); },
+                   [&](const DropPacket &drop) {
+                       counters_.add(Counter::PacketsDropped);
+                       logDrop(*packet, drop.reason, time);
+                   },
                },
                decision);
+    logJudgements(time);
     if (router_.nextTimer() <= time) {
         onTimer();
     }
@@ -101,9 +114,52 @@
 void PacketTask::reset(const ResetFlow &reset)
 {
     counters_.add(Counter::FlowsReset);
+    log_.write(LogEvent::FlowReset, now(),
+               { { "caller", toString(reset.flow.caller) },
+                 { "service", toString(reset.flow.service) },
+                 { "reason", nameOf(reset.reason) } });
     socket_.send({ reset.flow.caller.ip, callerPort_ }, codec_->encodeReset(reset.flow, reset.sequence));
 }
 
+void PacketTask::logPlacement(const Packet &packet, const ForwardPacket &forward, TimePoint time)
+{
+    // By flow, so that a flow that is logged is logged by every balancer.
+    if (packet.flow.hash() % placementSample != 0) {
+        return;
+    }
+    const TargetEntry &target = router_.targets().at(*router_.targets().find(forward.target->id));
+    log_.write(LogEvent::FlowPlaced, time,
+               { { "caller", toString(packet.flow.caller) },
+                 { "service", toString(packet.flow.service) },
+                 { "target", static_cast<std::int64_t>(forward.target->id.value) },
+                 { "copy", packet.acknowledged },
+                 { "busy", target.busy },
+                 { "busy_elsewhere", target.busyElsewhere },
+                 { "flows", target.flows },
+                 { "belief", nameOf(target.evidence.belief()) } });
+}
+
+void PacketTask::logDrop(const Packet &packet, DropReason reason, TimePoint time)
+{
+    log_.write(LogEvent::PacketDropped, time,
+               { { "caller", toString(packet.flow.caller) },
+                 { "service", toString(packet.flow.service) },
+                 { "tag", packet.tag.value },
+                 { "opens", packet.opens },
+                 { "reason", nameOf(reason) } });
+}
+
+void PacketTask::logJudgements(TimePoint time)
+{
+    for (const TargetJudgement &judgement : router_.takeJudgements()) {
+        log_.write(LogEvent::TargetJudged, time,
+                   { { "target", static_cast<std::int64_t>(judgement.target.value) },
+                     { "belief", nameOf(judgement.belief) },
+                     { "repeating", judgement.repeating },
+                     { "since_progress_ms", judgement.sinceProgressMs } });
+    }
+}
+
 void PacketTask::onTimer()
 {
     std::vector<ResetFlow> resets;
--- a/src/host/packettask.h
+++ b/src/host/packettask.h
@@ -2,6 +2,7 @@
 #define POPLARROAD_HOST_PACKETTASK_H
 
 #include "counters.h"
+#include "eventlog.h"
 #include "link/datagramsocket.h"
 #include "link/packetcodec.h"
 #include "mailbox.h"
@@ -30,7 +31,7 @@
 public:
     /** @param toPeers called in the task's thread and only posts */
     PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec,
-               std::function<void(SendFleetMessage)> toPeers, CounterSet &counters);
+               std::function<void(SendFleetMessage)> toPeers, CounterSet &counters, LogSink &logSink);
 
     bool bound() const
     {
@@ -47,11 +48,15 @@
     void reset(const ResetFlow &reset);
     void onTimer();
     void sendReport();
+    void logPlacement(const Packet &packet, const ForwardPacket &forward, TimePoint time);
+    void logDrop(const Packet &packet, DropReason reason, TimePoint time);
+    void logJudgements(TimePoint time);
 
     std::uint16_t callerPort_; ///< callers take packets at the port that this balancer takes theirs
     std::unique_ptr<PacketCodec> codec_;
     std::function<void(SendFleetMessage)> toPeers_;
     CounterSet &counters_;
+    EventLog log_;
     EventLoop loop_;
     FlowRouter router_;
     HostAddress self_;
--- a/src/host/peertask.cpp
+++ b/src/host/peertask.cpp
@@ -3,7 +3,6 @@
 #include "incarnation.h"
 #include "poplarroad/visitor.h"
 
-#include <log4cxx/logger.h>
 #include <unistd.h>
 
 #include <random>
--- a/src/host/settings.cpp
+++ b/src/host/settings.cpp
@@ -1,7 +1,6 @@
 #include "host/settings.h"
 
 #include <ini.h>
-#include <openssl/sha.h>
 
 #include <algorithm>
 #include <array>
@@ -108,8 +107,11 @@
 bool takeDerivedKey(Settings &settings, const std::string &value)
 {
     Key key;
-    static_assert(sizeof(key.bytes) == SHA256_DIGEST_LENGTH);
-    SHA256(reinterpret_cast<const unsigned char *>(value.data()), value.size(), key.bytes.data());
+    const Mac first = computeMac(key, value);
+    std::copy(first.begin(), first.end(), key.bytes.begin());
+    const Mac second = computeMac(key, value);
+    static_assert(first.size() + second.size() == sizeof(key.bytes));
+    std::copy(second.begin(), second.end(), key.bytes.begin() + first.size());
     settings.keys.push_back(key);
     return !value.empty();
 }
--- /dev/null
+++ b/src/host/statustask.cpp
@@ -0,0 +1,59 @@
+#include "host/statustask.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace poplarroad
+{
+
+void StatusTask::ServerDeleter::operator()(evhttp *server) const
+{
+    evhttp_free(server);
+}
+
+StatusTask::StatusTask(const HostAddress &address, const std::string &path, const std::atomic<bool> &ready,
+                       std::vector<const CounterSet *> sets)
+    : ready_(ready)
+    , sets_(std::move(sets))
+    , server_(evhttp_new(loop_.base()))
+    , mailbox_(loop_, [this](StopTask &&) { loop_.stop(); })
+{
+    const std::string endpoint = toString(address);
+    bound_ = evhttp_bind_socket(server_.get(), endpoint.substr(0, endpoint.find(':')).c_str(), address.port) == 0;
+    if (!path.empty()) {
+        evhttp_set_cb(server_.get(), path.c_str(), &StatusTask::onReadiness, this);
+    }
+    evhttp_set_cb(server_.get(), "/metrics", &StatusTask::onMetrics, this);
+}
+
+void StatusTask::start()
+{
+    thread_.start(loop_, "status");
+}
+
+void StatusTask::stop()
+{
+    mailbox_.post({});
+}
+
+void StatusTask::join()
+{
+    thread_.join();
+}
+
+void StatusTask::onReadiness(evhttp_request *request, void *self)
+{
+    const bool ready = static_cast<StatusTask *>(self)->ready_.load();
+    evhttp_send_reply(request, ready ? HTTP_OK : HTTP_SERVUNAVAIL, nullptr, nullptr);
+}
+
+void StatusTask::onMetrics(evhttp_request *request, void *self)
+{
+    const std::string text = prometheusText(static_cast<StatusTask *>(self)->sets_);
+    evbuffer_add(evhttp_request_get_output_buffer(request), text.data(), text.size());
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", "text/plain; version=0.0.4");
+    evhttp_send_reply(request, HTTP_OK, nullptr, nullptr);
+}
+
+} // namespace poplarroad
--- a/src/host/daemonmain.h
+++ b/src/host/stopsignals.h
@@ -1,8 +1,5 @@
-#ifndef POPLARROAD_HOST_DAEMONMAIN_H
-#define POPLARROAD_HOST_DAEMONMAIN_H
-
-#include "flagnames.h"
-#include "settings.h"
+#ifndef POPLARROAD_HOST_STOPSIGNALS_H
+#define POPLARROAD_HOST_STOPSIGNALS_H
 
 #include <csignal>
 #include <functional>
@@ -10,8 +7,6 @@
 namespace poplarroad
 {
 
-/** Sends log lines of the level and above to standard output. */
-void startLogging(LogLevel level);
 /** Blocks the signals that stop a daemon or make it reload, before any thread starts, so that only waitForStop() takes them. */
 sigset_t blockStopSignals();
 /**
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -157,7 +157,10 @@
         flow.repeats = 0;
         flow.open = true;
         flows_.setBusy(flow, false, now);
-        targets_.at(flow.target).evidence.onProgress(now);
+        TargetEvidence &evidence = targets_.at(flow.target).evidence;
+        const TargetBelief before = evidence.belief();
+        evidence.onProgress(now);
+        noteBelief(flow.target, before, now);
     }
     const std::uint32_t end = packet.sequence + packet.length;
     if (packet.length == 0) {
@@ -182,7 +185,14 @@
 
 void FlowRouter::noteBelief(TargetIndex target, TargetBelief before, TimePoint now)
 {
-    if (before != TargetBelief::Silent && targets_.at(target).evidence.belief() == TargetBelief::Silent) {
+    const TargetEntry &entry = targets_.at(target);
+    const TargetBelief belief = entry.evidence.belief();
+    if (before == belief) {
+        return;
+    }
+    judgements_.push_back(
+        { entry.listed.target.id, belief, entry.evidence.repeating(), entry.evidence.sinceProgressMs(now) });
+    if (belief == TargetBelief::Silent) {
         lost_.insert(target);
         nextTimer_ = now;
     }
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -78,6 +79,15 @@
 
 using PacketDecision = std::variant<ForwardPacket, ResetFlow, DropPacket>;
 
+/** A change of what the packets say of a target. */
+struct TargetJudgement
+{
+    TargetId target;
+    TargetBelief belief = TargetBelief::Answering;
+    std::uint32_t repeating = 0;
+    std::uint32_t sinceProgressMs = 0;
+};
+
 /**
  * Decides where each packet of a caller goes.
  *
@@ -107,6 +117,11 @@
     LoadReport report(TimePoint now) const;
     /** Takes what another balancer of the zone sees. */
     void onPeerReport(const HostAddress &peer, const LoadReport &report, TimePoint now);
+    /** @return the judgements since the last call, oldest first */
+    std::vector<TargetJudgement> takeJudgements()
+    {
+        return std::exchange(judgements_, {});
+    }
     const TargetTable &targets() const
     {
         return targets_;
@@ -124,7 +139,7 @@
     void observe(PacketFlow &flow, const Packet &packet, TimePoint now);
     /** Counts a packet that the caller sent again. */
     void observeRepeat(PacketFlow &flow, TimePoint now);
-    /** Marks the flows of a target that has become silent for their end. */
+    /** Records what changed, and marks the flows of a target that has become silent for their end. */
     void noteBelief(TargetIndex target, TargetBelief before, TimePoint now);
     /** Ends the flows of targets that became silent or are gone. */
     void endLostFlows(std::vector<ResetFlow> &resets);
@@ -142,6 +157,7 @@
     TargetTable targets_;
     PacketFlows flows_;
     PeerLoads peerLoads_;
+    std::vector<TargetJudgement> judgements_;
     absl::flat_hash_set<TargetIndex> lost_; ///< targets whose flows have to end
     TimePoint nextExpiry_;
     TimePoint nextTimer_;
