Weigh flows by the part of their time that they wait

Cause: an idle flow counted 0.1 requests, so 20 flows of a target outweighed the preference for the own zone, and a fifth of the flows crossed zones and were lost in zone cuts.

--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -13,8 +13,10 @@
 constexpr std::chrono::seconds expiryPeriod{ 1 };
 /** Time on top of the idle timeout, for packets that are still on their way. */
 constexpr std::chrono::seconds expirySlack{ 2 };
-/** An idle flow will send again; it counts as this part of a request at its target. */
-constexpr double idleFlowWeight = 0.1;
+/** Least part of their time that flows are taken to wait for answers, before enough of them were seen. */
+constexpr double leastBusyPart = 0.02;
+/** Requests that wait now count less than what the flows of a target bring over time. */
+constexpr double presentWeight = 0.5;
 /** Requests that a target of another zone has to have less, for the way there. */
 constexpr double otherZonePenalty = 1.0;
 /** A target that may not answer is chosen only when no other is left. */
@@ -249,12 +251,14 @@
     std::optional<TargetIndex> best;
     double bestCost = std::numeric_limits<double>::infinity();
     std::uint32_t equals = 0;
-    for (const TargetIndex index : targets_.ofService(serviceOf(route, packet))) {
+    const std::vector<TargetIndex> &candidates = targets_.ofService(serviceOf(route, packet));
+    const double part = busyPart(candidates);
+    for (const TargetIndex index : candidates) {
         const TargetEntry &target = targets_.at(index);
         if (target.listed.target.state != TargetState::Active || index == avoid) {
             continue;
         }
-        double cost = costOf(target, now);
+        double cost = costOf(target, part, now);
         if (target.evidence.belief() != TargetBelief::Answering) {
             cost += suspicionPenalty;
         } else if (target.listing == Listing::Lapsed) {
@@ -271,9 +275,22 @@
     return best;
 }
 
-double FlowRouter::costOf(const TargetEntry &target, TimePoint now) const
+double FlowRouter::busyPart(const std::vector<TargetIndex> &targets) const
 {
-    const double work = target.busy + target.busyElsewhere + idleFlowWeight * (target.flows + target.elsewhere);
+    double busy = 0.0;
+    double flows = 1.0;
+    for (const TargetIndex index : targets) {
+        const TargetEntry &target = targets_.at(index);
+        busy += target.busy + target.busyElsewhere;
+        flows += target.flows + target.elsewhere;
+    }
+    return std::clamp(busy / flows, leastBusyPart, 1.0);
+}
+
+double FlowRouter::costOf(const TargetEntry &target, double busyPart, TimePoint now) const
+{
+    const double work =
+        presentWeight * (target.busy + target.busyElsewhere) + busyPart * (target.flows + target.elsewhere);
     const double speed = now < target.warmAt ? warmupSpeed : 1.0;
     const double cost = work / (speed * std::max<double>(target.listed.target.slots, 1.0));
     return target.listed.target.zone == zone_ ? cost : cost + otherZonePenalty;
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -147,7 +147,10 @@
     /** @return the target for a new flow, or nothing when none takes one */
     std::optional<TargetIndex> choose(const ServiceRoute &route, const Packet &packet,
                                       std::optional<TargetIndex> avoid, TimePoint now);
-    double costOf(const TargetEntry &target, TimePoint now) const;
+    /** @return the part of their time that the flows of these targets wait for answers */
+    double busyPart(const std::vector<TargetIndex> &targets) const;
+    /** @return the expected requests for each slot, with what counts against the target */
+    double costOf(const TargetEntry &target, double busyPart, TimePoint now) const;
     ForwardPacket forward(TargetIndex target) const;
 
     ZoneId zone_;
