Forget repeats of a flow after a second

Change: a repeat counts for 1 s. Test: targetevidence_tests, which also guards the other rules of the evidence.

--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -104,7 +104,7 @@
     PacketFlow *known = flows_.find(packet.flow);
     if (known && known->sent == packet.sequence && !known->open) {
         // The first target gave no answer in the usual time.
-        observeRepeat(*known, now);
+        observeRepeat(packet.flow, *known, now);
         const auto other = choose(route, packet, known->target, now);
         if (other) {
             flows_.move(*known, *other);
@@ -156,7 +156,6 @@
     const bool answered = isAfter(packet.acknowledged, flow.acknowledged);
     if (!flow.open || answered) {
         flow.acknowledged = packet.acknowledged;
-        flow.repeats = 0;
         flow.open = true;
         flows_.setBusy(flow, false, now);
         TargetEvidence &evidence = targets_.at(flow.target).evidence;
@@ -172,16 +171,15 @@
         flow.sent = end;
         flows_.setBusy(flow, true, now);
     } else if (!answered) {
-        observeRepeat(flow, now);
+        observeRepeat(packet.flow, flow, now);
     }
 }
 
-void FlowRouter::observeRepeat(PacketFlow &flow, TimePoint now)
+void FlowRouter::observeRepeat(const FlowKey &key, PacketFlow &flow, TimePoint now)
 {
     TargetEvidence &evidence = targets_.at(flow.target).evidence;
     const TargetBelief before = evidence.belief();
-    evidence.onRepeat(flow.repeats == 0, flow.open ? flow.waitingSince : flow.openedAt, now);
-    flow.repeats += flow.repeats < UINT8_MAX ? 1 : 0;
+    evidence.onRepeat(key.hash(), flow.open ? flow.waitingSince : flow.openedAt, now);
     noteBelief(flow.target, before, now);
 }
 
@@ -193,7 +191,7 @@
         return;
     }
     judgements_.push_back(
-        { entry.listed.target.id, belief, entry.evidence.repeating(), entry.evidence.sinceProgressMs(now) });
+        { entry.listed.target.id, belief, entry.evidence.repeating(now), entry.evidence.sinceProgressMs(now) });
     if (belief == TargetBelief::Silent) {
         lost_.insert(target);
         nextTimer_ = now;
@@ -205,11 +203,11 @@
     LoadReport report;
     for (const auto &[id, index] : targets_.byId()) {
         const TargetEntry &target = targets_.at(index);
-        if (target.flows == 0 && target.evidence.repeating() == 0) {
+        if (target.flows == 0 && target.evidence.repeating(now) == 0) {
             continue;
         }
         report.loads.push_back({ id, static_cast<std::uint16_t>(target.flows), static_cast<std::uint16_t>(target.busy),
-                                 static_cast<std::uint16_t>(target.evidence.repeating()),
+                                 static_cast<std::uint16_t>(target.evidence.repeating(now)),
                                  target.evidence.sinceProgressMs(now) });
     }
     return report;
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -138,7 +138,7 @@
     /** Reads from a packet of a known flow what its target did. */
     void observe(PacketFlow &flow, const Packet &packet, TimePoint now);
     /** Counts a packet that the caller sent again. */
-    void observeRepeat(PacketFlow &flow, TimePoint now);
+    void observeRepeat(const FlowKey &key, PacketFlow &flow, TimePoint now);
     /** Records what changed, and marks the flows of a target that has become silent for their end. */
     void noteBelief(TargetIndex target, TargetBelief before, TimePoint now);
     /** Ends the flows of targets that became silent or are gone. */
--- a/src/service/packetflows.h
+++ b/src/service/packetflows.h
@@ -25,7 +25,6 @@
     RequestKind kind = RequestKind::Idempotent;
     bool open = false; ///< the caller has completed the handshake
     bool busy = false; ///< the caller waits for an answer
-    std::uint8_t repeats = 0; ///< packets sent again since the last progress
 };
 
 /** The flows that this balancer forwards, with the counts at their targets. */
--- a/src/target/targetevidence.cpp
+++ b/src/target/targetevidence.cpp
@@ -7,7 +7,7 @@
 
 void TargetEvidence::reset(TimePoint now)
 {
-    flows_ = 0;
+    repeats_.clear();
     peers_.clear();
     lastProgress_ = now;
     become(TargetBelief::Answering, now);
@@ -15,27 +15,48 @@
 
 void TargetEvidence::onProgress(TimePoint now)
 {
-    flows_ = 0;
+    repeats_.clear();
     lastProgress_ = now;
     become(TargetBelief::Answering, now);
 }
 
-void TargetEvidence::onRepeat(bool firstOfFlow, TimePoint waitingSince, TimePoint now)
+void TargetEvidence::onRepeat(std::uint64_t flow, TimePoint waitingSince, TimePoint now)
 {
+    forgetRepeats(now);
     // What a caller sent before the last progress may have been lost on its own.
     const TimePoint start = std::max(waitingSince, lastProgress_);
-    waitingSince_ = flows_ == 0 ? start : std::min(waitingSince_, start);
-    flows_ += firstOfFlow || flows_ == 0 ? 1 : 0;
+    const auto known =
+        std::find_if(repeats_.begin(), repeats_.end(), [&](const Repeat &repeat) { return repeat.flow == flow; });
+    if (known == repeats_.end()) {
+        repeats_.push_back({ flow, start, now });
+    } else {
+        known->at = now;
+    }
     judge(now);
 }
 
+void TargetEvidence::forgetRepeats(TimePoint now)
+{
+    std::erase_if(repeats_, [&](const Repeat &repeat) { return now - repeat.at > RepeatAge; });
+}
+
+std::uint32_t TargetEvidence::repeating(TimePoint now) const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        repeats_.begin(), repeats_.end(), [&](const Repeat &repeat) { return now - repeat.at <= RepeatAge; }));
+}
+
 void TargetEvidence::judge(TimePoint now)
 {
-    if (flows_ == 0) {
+    forgetRepeats(now);
+    if (repeats_.empty()) {
         return;
     }
-    const auto waited = now - waitingSince_;
-    const std::uint32_t repeating = flows_ + repeatingElsewhere(now);
+    const auto oldest = std::min_element(repeats_.begin(), repeats_.end(), [](const Repeat &a, const Repeat &b) {
+        return a.waitingSince < b.waitingSince;
+    });
+    const auto waited = now - oldest->waitingSince;
+    const std::uint32_t repeating = static_cast<std::uint32_t>(repeats_.size()) + repeatingElsewhere(now);
     if (repeating >= FlowsToSilence && waited >= SilentAfter) {
         become(TargetBelief::Silent, now);
     } else if (belief_ == TargetBelief::Answering && repeating >= FlowsToSuspect && waited >= SuspectAfter) {
@@ -56,8 +77,8 @@
     const TimePoint progress = now - sinceProgress;
     if (progress > lastProgress_) {
         lastProgress_ = progress;
-        if (flows_ > 0 && progress > waitingSince_) {
-            flows_ = 0;
+        std::erase_if(repeats_, [&](const Repeat &repeat) { return repeat.waitingSince < progress; });
+        if (progress > since_) {
             become(TargetBelief::Answering, now);
         }
     }
--- a/src/target/targetevidence.h
+++ b/src/target/targetevidence.h
@@ -43,6 +43,11 @@
     /** Flows that have to repeat themselves: one alone can be a lost packet or a long request. */
     static constexpr std::uint32_t FlowsToSuspect = 2;
     static constexpr std::uint32_t FlowsToSilence = 2;
+    /**
+     * A repeat is forgotten after this: the caller's next one would have come within 800 ms, unless its flow has ended or
+     * takes its way through another balancer now.
+     */
+    static constexpr Milliseconds RepeatAge{ 1000 };
     /** How often a suspected or silent target gets one new flow, to see whether it answers again. */
     static constexpr Milliseconds TrialPeriod{ 2000 };
 
@@ -53,10 +58,10 @@
     /**
      * A caller sent a packet again.
      *
-     * @param firstOfFlow the flow has not repeated itself since its last progress
+     * @param flow any number that identifies the flow
      * @param waitingSince when the caller sent the packet first
      */
-    void onRepeat(bool firstOfFlow, TimePoint waitingSince, TimePoint now);
+    void onRepeat(std::uint64_t flow, TimePoint waitingSince, TimePoint now);
     /**
      * Takes what another balancer sees: its repeating flows count like those here, and its progress too.
      *
@@ -64,11 +69,8 @@
      * @param sinceProgress time since it saw progress, before the report was sent
      */
     void onPeerReport(std::uint64_t peer, std::uint32_t repeating, Milliseconds sinceProgress, TimePoint now);
-    /** @return flows that sent again here since the last progress */
-    std::uint32_t repeating() const
-    {
-        return flows_;
-    }
+    /** @return flows that sent again here since the last progress, and not long ago */
+    std::uint32_t repeating(TimePoint now) const;
     std::uint32_t sinceProgressMs(TimePoint now) const;
     /** @return whether one new flow may go there now although it is not known to answer; it is counted then */
     bool takeTrial(TimePoint now);
@@ -82,6 +84,13 @@
     }
 
 private:
+    struct Repeat
+    {
+        std::uint64_t flow = 0;
+        TimePoint waitingSince;
+        TimePoint at;
+    };
+
     struct PeerView
     {
         std::uint64_t peer = 0;
@@ -94,14 +103,14 @@
 
     void become(TargetBelief belief, TimePoint now);
     std::uint32_t repeatingElsewhere(TimePoint now) const;
+    void forgetRepeats(TimePoint now);
     void judge(TimePoint now);
 
     TargetBelief belief_ = TargetBelief::Answering;
     TimePoint since_;
     TimePoint lastProgress_;
-    TimePoint waitingSince_; ///< of the oldest packet that was sent again since the last progress
     TimePoint lastTrial_;
-    std::uint32_t flows_ = 0; ///< that sent again here since the last progress
+    std::vector<Repeat> repeats_; ///< the last one of each flow since the last progress
     std::vector<PeerView> peers_;
 };
 
