Refuse openings at once whose first request would miss its latency goal

Cause: in a flood of six times, queues of the targets were full, requests took 290 ms on a goal of 200 ms, and 17,813 were shed by the targets after the way there. Change: an opening is reset when the best target has more requests for each slot than the goal allows; less urgent kinds are refused at shorter queues.

--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -116,8 +116,13 @@
     if (!target) {
         return DropPacket{ DropReason::NoTarget };
     }
+    if (!admissions_[serviceOf(route, packet)].admits(route, pressureOf(targets_.at(*target), now))) {
+        return ResetFlow{ packet.flow, packet.acknowledged, ResetReason::Overload };
+    }
     PacketFlow &flow = flows_.add(packet.flow, *target, route.kind, now);
     flow.sent = packet.sequence;
+    // Its first request follows within a round trip; until then other openings must not take its place.
+    flows_.setBusy(flow, true, now);
     return forward(*target);
 }
 
@@ -154,6 +159,10 @@
 {
     flow.lastPacket = now;
     const bool answered = isAfter(packet.acknowledged, flow.acknowledged);
+    if (answered && flow.busy && flow.open) {
+        const TargetEntry &target = targets_.at(flow.target);
+        admissions_[target.listed.target.service].onAnswer(now - flow.waitingSince, pressureOf(target, now));
+    }
     if (!flow.open || answered) {
         flow.acknowledged = packet.acknowledged;
         flow.open = true;
@@ -285,6 +294,12 @@
     return std::clamp(busy / flows, leastBusyPart, 1.0);
 }
 
+double FlowRouter::pressureOf(const TargetEntry &target, TimePoint now) const
+{
+    const double speed = now < target.warmAt ? warmupSpeed : 1.0;
+    return (target.busy + target.busyElsewhere) / (speed * std::max<double>(target.listed.target.slots, 1.0));
+}
+
 double FlowRouter::costOf(const TargetEntry &target, double busyPart, TimePoint now) const
 {
     const double work =
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -4,6 +4,7 @@
 #include "poplarroad/directory.h"
 #include "poplarroad/packet.h"
 #include "service/packetflows.h"
+#include "service/openingadmission.h"
 #include "target/peerloads.h"
 #include "target/targettable.h"
 #include "zone/seededrandom.h"
@@ -149,6 +150,8 @@
                                       std::optional<TargetIndex> avoid, TimePoint now);
     /** @return the part of their time that the flows of these targets wait for answers */
     double busyPart(const std::vector<TargetIndex> &targets) const;
+    /** @return the requests that wait at a target for each of its slots, those that run included */
+    double pressureOf(const TargetEntry &target, TimePoint now) const;
     /** @return the expected requests for each slot, with what counts against the target */
     double costOf(const TargetEntry &target, double busyPart, TimePoint now) const;
     ForwardPacket forward(TargetIndex target) const;
@@ -160,6 +163,7 @@
     TargetTable targets_;
     PacketFlows flows_;
     PeerLoads peerLoads_;
+    absl::flat_hash_map<ServiceId, OpeningAdmission> admissions_;
     std::vector<TargetJudgement> judgements_;
     absl::flat_hash_set<TargetIndex> lost_; ///< targets whose flows have to end
     TimePoint nextExpiry_;
