--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -231,20 +231,21 @@
   weight @1 :UInt32;
 }
 
-struct ServiceRoute {
-  ip @0 :UInt32;
-  port @1 :UInt16;
-  kind @2 :UInt8;
-  urgency @3 :UInt8;
-  deadlineMs @4 :UInt32;
-  latencyGoalMs @5 :UInt32;
-  services @6 :List(WeightedService);
+# Routes that differ in their addresses only; most of the routes of a deployment do.
+struct RouteGroup {
+  kind @0 :UInt8;
+  urgency @1 :UInt8;
+  deadlineMs @2 :UInt32;
+  latencyGoalMs @3 :UInt32;
+  services @4 :List(WeightedService);
+  # The IPv4 address above the 16 bits of the port.
+  addresses @5 :List(UInt64);
 }
 
 struct ServiceMap {
   version @0 :UInt64;
   idleTimeoutMs @1 :UInt32;
-  routes @2 :List(ServiceRoute);
+  groups @2 :List(RouteGroup);
 }
 
 struct ListedTarget {
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -26,6 +26,13 @@
 /** Balancers that get a message of which one receiver would be enough. */
 constexpr std::size_t fewPeers = 3;
 
+/** Part of the link that content for other balancers may take. */
+constexpr double contentPart = 0.2;
+constexpr double bitsPerByte = 8.0;
+/** Encoded size of a route in a group of many, and of a target. */
+constexpr std::size_t routeBytes = 8;
+constexpr std::size_t targetBytes = 88;
+
 /** Hosts with more processor follow the store for the others. */
 std::uint64_t rankOf(const Settings &settings)
 {
@@ -46,6 +53,7 @@
     , seeds_(settings.seeds)
     , random_(std::random_device()())
     , startedAt_(now())
+    , linkMbps_(settings.linkMbps)
     , zone_(zoneIdOf(settings.zone))
     , share_(settings.peers, rankOf(settings))
     , timer_(loop_, [this] { advance(); })
@@ -99,7 +107,9 @@
         sendBeacon(time);
     }
     askPeers(time);
-    TimePoint next = std::min({ targets_.nextTimer(), share_.nextTimer(time), nextAsk_ });
+    sendNextContent(time);
+    TimePoint next = std::min({ targets_.nextTimer(), share_.nextTimer(time), nextAsk_,
+                                pending_.empty() ? TimePoint::max() : nextContent_ });
     for (const auto &[part, name] : EnumNames<DirectoryPart>::table) {
         if (const auto due = feed(part).next(time)) {
             call(part, *due);
@@ -136,7 +146,7 @@
             std::vector<HostAddress> hosts = zoneMembers();
             const std::vector<HostAddress> others = gateways();
             hosts.insert(hosts.end(), others.begin(), others.end());
-            sendContent(std::move(hosts), version, before);
+            sendContent(hosts, version, before);
         }
     }
     advance();
@@ -290,16 +300,40 @@
     receivers_.toPeers({ std::move(hosts), DirectoryRequest{} });
 }
 
-void DirectoryTask::sendContent(std::vector<HostAddress> hosts, std::uint64_t serviceVersion, Revision targets)
+void DirectoryTask::sendContent(const std::vector<HostAddress> &hosts, std::uint64_t serviceVersion, Revision targets)
 {
-    if (hosts.empty() || !ready_) {
+    if (!ready_) {
         return;
     }
-    DirectoryContent content;
-    content.services = services_->version > serviceVersion ? services_ : nullptr;
-    content.targets = targets_.since(targets);
-    content.targetsAfter = targets;
-    receivers_.toPeers({ std::move(hosts), std::move(content) });
+    for (const HostAddress &host : hosts) {
+        const auto known = std::find_if(pending_.begin(), pending_.end(),
+                                        [&](const PendingContent &content) { return content.host == host; });
+        if (known == pending_.end()) {
+            pending_.push_back({ host, serviceVersion, targets });
+        } else {
+            known->serviceVersion = std::min(known->serviceVersion, serviceVersion);
+            known->targets = std::min(known->targets, targets);
+        }
+    }
+}
+
+void DirectoryTask::sendNextContent(TimePoint time)
+{
+    while (!pending_.empty() && time >= nextContent_) {
+        const PendingContent next = pending_.front();
+        pending_.pop_front();
+        DirectoryContent content;
+        content.services = services_->version > next.serviceVersion ? services_ : nullptr;
+        content.targets = targets_.since(next.targets);
+        content.targetsAfter = next.targets;
+        const std::size_t bytes = (content.services ? content.services->routes.size() * routeBytes : 0)
+            + content.targets.changes.size() * targetBytes;
+        // The callers' packets share the link and must not wait behind a large content.
+        const std::chrono::duration<double, std::micro> taken(static_cast<double>(bytes) * bitsPerByte
+                                                              / (linkMbps_ * contentPart));
+        nextContent_ = std::max(nextContent_, time) + std::chrono::duration_cast<Microseconds>(taken);
+        receivers_.toPeers({ { next.host }, std::move(content) });
+    }
 }
 
 DirectoryState DirectoryTask::state() const
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -14,6 +14,7 @@
 #include "taskthread.h"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -59,9 +60,18 @@
     void onBeacon(const FleetMessageReceived &received, const DirectoryBeacon &beacon);
     void onContent(const FleetMessageReceived &received, const DirectoryContent &content);
     void sendBeacon(TimePoint time);
-    /** Sends what is newer than the given state. */
-    void sendContent(std::vector<HostAddress> hosts, std::uint64_t serviceVersion, Revision targets);
+    /** Queues what is newer than the given state for each of the hosts. */
+    void sendContent(const std::vector<HostAddress> &hosts, std::uint64_t serviceVersion, Revision targets);
+    void sendNextContent(TimePoint time);
     DirectoryState state() const;
+    /** Content that a host still has to get. */
+    struct PendingContent
+    {
+        HostAddress host;
+        std::uint64_t serviceVersion = 0;
+        Revision targets;
+    };
+
     /** Asks others for all that they know, while this balancer is new. */
     void askPeers(TimePoint time);
     std::vector<HostAddress> zoneMembers() const;
@@ -87,6 +97,9 @@
     SeededRandom random_;
     TimePoint startedAt_;
     TimePoint nextAsk_;
+    double linkMbps_;
+    std::deque<PendingContent> pending_;
+    TimePoint nextContent_;
     bool peerAnswered_ = false;
     ZoneId zone_;
     DirectoryShare share_;
--- a/src/host/settings.cpp
+++ b/src/host/settings.cpp
@@ -165,6 +165,11 @@
                 return takeNumber(settings.processorShare, value, 1024.0) && settings.processorShare > 0.0;
             },
             "a number of cores above 0, at most 1024" },
+    KeyRow{ "host", "link-mbps", Need::Optional,
+            [](Settings &settings, const std::string &value) {
+                return takeNumber(settings.linkMbps, value, 1e6) && settings.linkMbps > 0.0;
+            },
+            "megabits a second, above 0 and at most 1000000" },
     KeyRow{ "host", "drain-time-ms", Need::Optional,
             [](Settings &settings, const std::string &value) {
                 return takeMilliseconds(settings.drainTime, value, 60'000);
--- a/src/host/settings.h
+++ b/src/host/settings.h
@@ -65,6 +65,7 @@
     Milliseconds leaveTimeout{ 30000 }; ///< for requests in progress at a graceful stop
     Milliseconds connectTimeout{ 1000 }; ///< to targets and balancers
     double processorShare = 1.0; ///< packets: cores of this host; larger hosts do more for the others
+    double linkMbps = 1000.0; ///< packets: bandwidth of this host's link
     std::string readinessPath; ///< packets: answered with 200 at the metrics address while the daemon takes new work
     Milliseconds drainTime{ 2500 }; ///< packets: from the stop signal to the end
 };
--- a/src/link/wirefleet.cpp
+++ b/src/link/wirefleet.cpp
@@ -1,53 +1,89 @@
 #include "link/wireenvelope.h"
 #include "poplarroad/visitor.h"
 
+#include <algorithm>
+
 namespace poplarroad
 {
 
 namespace
 {
 
+/** Routes that differ in their addresses only. */
+using RouteGroups = std::vector<std::vector<const ServiceRoute *>>;
+
+bool sameButAddress(const ServiceRoute &a, const ServiceRoute &b)
+{
+    return a.services == b.services && a.kind == b.kind && a.urgency == b.urgency && a.deadline == b.deadline
+        && a.latencyGoal == b.latencyGoal;
+}
+
+RouteGroups groupsOf(const ServiceMap &services)
+{
+    RouteGroups groups;
+    for (const auto &[address, route] : services.routes) {
+        const auto known = std::find_if(groups.begin(), groups.end(),
+                                        [&](const auto &group) { return sameButAddress(*group.front(), route); });
+        if (known == groups.end()) {
+            groups.push_back({ &route });
+        } else {
+            known->push_back(&route);
+        }
+    }
+    return groups;
+}
+
+void writeGroup(schema::RouteGroup::Builder to, const std::vector<const ServiceRoute *> &group)
+{
+    const ServiceRoute &first = *group.front();
+    to.setKind(static_cast<std::uint8_t>(first.kind));
+    to.setUrgency(static_cast<std::uint8_t>(first.urgency));
+    to.setDeadlineMs(static_cast<std::uint32_t>(first.deadline.count()));
+    to.setLatencyGoalMs(static_cast<std::uint32_t>(first.latencyGoal.count()));
+    auto weighted = to.initServices(static_cast<unsigned>(first.services.size()));
+    for (unsigned i = 0; i < weighted.size(); ++i) {
+        weighted[i].setService(first.services[i].service.value);
+        weighted[i].setWeight(first.services[i].weight);
+    }
+    auto addresses = to.initAddresses(static_cast<unsigned>(group.size()));
+    for (unsigned i = 0; i < addresses.size(); ++i) {
+        addresses.set(i, group[i]->address.key());
+    }
+}
+
 void writeServices(schema::ServiceMap::Builder to, const ServiceMap &services)
 {
     to.setVersion(services.version);
     to.setIdleTimeoutMs(static_cast<std::uint32_t>(services.idleTimeout.count()));
-    auto routes = to.initRoutes(static_cast<unsigned>(services.routes.size()));
-    unsigned next = 0;
-    for (const auto &[address, route] : services.routes) {
-        auto each = routes[next++];
-        each.setIp(address.ip);
-        each.setPort(address.port);
-        each.setKind(static_cast<std::uint8_t>(route.kind));
-        each.setUrgency(static_cast<std::uint8_t>(route.urgency));
-        each.setDeadlineMs(static_cast<std::uint32_t>(route.deadline.count()));
-        each.setLatencyGoalMs(static_cast<std::uint32_t>(route.latencyGoal.count()));
-        auto weighted = each.initServices(static_cast<unsigned>(route.services.size()));
-        for (unsigned i = 0; i < weighted.size(); ++i) {
-            weighted[i].setService(route.services[i].service.value);
-            weighted[i].setWeight(route.services[i].weight);
-        }
+    const RouteGroups groups = groupsOf(services);
+    auto written = to.initGroups(static_cast<unsigned>(groups.size()));
+    for (unsigned i = 0; i < written.size(); ++i) {
+        writeGroup(written[i], groups[i]);
     }
 }
 
 ServiceMapPtr readServices(schema::ServiceMap::Reader from)
 {
+    constexpr unsigned portBits = 16;
     auto services = std::make_shared<ServiceMap>();
     services->version = from.getVersion();
     services->idleTimeout = Milliseconds(from.getIdleTimeoutMs());
-    for (const auto each : from.getRoutes()) {
+    for (const auto group : from.getGroups()) {
         ServiceRoute route;
-        route.address = { each.getIp(), each.getPort() };
-        route.kind = wire::checkedEnum<RequestKind>(each.getKind());
-        route.urgency = wire::checkedEnum<Urgency>(each.getUrgency());
-        route.deadline = Milliseconds(each.getDeadlineMs());
-        route.latencyGoal = Milliseconds(each.getLatencyGoalMs());
-        for (const auto weighted : each.getServices()) {
+        route.kind = wire::checkedEnum<RequestKind>(group.getKind());
+        route.urgency = wire::checkedEnum<Urgency>(group.getUrgency());
+        route.deadline = Milliseconds(group.getDeadlineMs());
+        route.latencyGoal = Milliseconds(group.getLatencyGoalMs());
+        for (const auto weighted : group.getServices()) {
             route.services.push_back({ ServiceId{ weighted.getService() }, weighted.getWeight() });
         }
         if (route.services.empty()) {
             throw wire::Refused{ WireError::InvalidValue };
         }
-        services->routes.insert_or_assign(route.address, std::move(route));
+        for (const std::uint64_t address : group.getAddresses()) {
+            route.address = { static_cast<std::uint32_t>(address >> portBits), static_cast<std::uint16_t>(address) };
+            services->routes.insert_or_assign(route.address, route);
+        }
     }
     return services;
 }
