--- a/include/poplarroad/fleetmessages.h
+++ b/include/poplarroad/fleetmessages.h
@@ -52,6 +52,14 @@
     TargetUpdate targets;
 };
 
+/** Names balancers of the receiver's zone, for one that knows none: the seeds may all be of other zones. */
+struct ZoneIntroduction
+{
+    std::vector<HostAddress> hosts;
+
+    friend bool operator==(const ZoneIntroduction &, const ZoneIntroduction &) = default;
+};
+
 /** What one balancer sees of a target. */
 struct TargetLoad
 {
@@ -73,7 +81,7 @@
 };
 
 /** What balancers tell each other of services and targets. */
-using FleetMessage = std::variant<DirectoryBeacon, DirectoryRequest, DirectoryContent, LoadReport>;
+using FleetMessage = std::variant<DirectoryBeacon, DirectoryRequest, DirectoryContent, ZoneIntroduction, LoadReport>;
 
 } // namespace poplarroad
 
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -38,6 +38,7 @@
     directoryRequest @24 :DirectoryRequest;
     directoryContent @25 :DirectoryContent;
     loadReport @26 :List(TargetLoad);
+    zoneIntroduction @27 :List(Address);
   }
 }
 
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -26,6 +26,12 @@
 /** Balancers that get a message of which one receiver would be enough. */
 constexpr std::size_t fewPeers = 3;
 
+/** Balancers of another zone that are remembered to introduce them to each other. */
+constexpr std::size_t longestAskers = 8;
+/** How often a balancer that is alone in its zone looks for others. */
+constexpr std::chrono::seconds aloneAskPeriod{ 5 };
+/** The store answers a balancer that starts within this; what it told need not be asked for. */
+constexpr Milliseconds firstAskDelay{ 150 };
 /** Part of the link that content for other balancers may take. */
 constexpr double contentPart = 0.2;
 constexpr double bitsPerByte = 8.0;
@@ -53,6 +59,7 @@
     , seeds_(settings.seeds)
     , random_(std::random_device()())
     , startedAt_(now())
+    , nextAsk_(startedAt_ + firstAskDelay)
     , linkMbps_(settings.linkMbps)
     , zone_(zoneIdOf(settings.zone))
     , share_(settings.peers, rankOf(settings))
@@ -222,15 +229,41 @@
 {
     std::visit(Visitor{
                    [&](const DirectoryBeacon &beacon) { onBeacon(received, beacon); },
-                   [&](const DirectoryRequest &request) {
-                       sendContent({ received.from }, request.serviceVersion, request.targets);
-                   },
+                   [&](const DirectoryRequest &request) { onRequest(received, request); },
+                   [&](const ZoneIntroduction &introduction) { receivers_.introduce({ introduction.hosts, {} }); },
                    [&](const DirectoryContent &content) { onContent(received, content); },
                    [](const LoadReport &) {}, // for the task of the packets
                },
                received.message);
 }
 
+void DirectoryTask::onRequest(const FleetMessageReceived &received, const DirectoryRequest &request)
+{
+    sendContent({ received.from }, request.serviceVersion, request.targets);
+    if (received.zone != zone_) {
+        introduce(received);
+    }
+}
+
+void DirectoryTask::introduce(const FleetMessageReceived &received)
+{
+    std::deque<HostAddress> &askers = askers_[received.zone];
+    std::vector<HostAddress> hosts(askers.begin(), askers.end());
+    const ZoneSummary *const zone = view_ ? view_->findZone(received.zone) : nullptr;
+    if (zone) {
+        hosts.insert(hosts.end(), zone->gateways.begin(), zone->gateways.end());
+    }
+    std::erase(hosts, received.from);
+    if (!hosts.empty()) {
+        receivers_.toPeers({ { received.from }, ZoneIntroduction{ std::move(hosts) } });
+    }
+    std::erase(askers, received.from);
+    askers.push_back(received.from);
+    if (askers.size() > longestAskers) {
+        askers.pop_front();
+    }
+}
+
 void DirectoryTask::onBeacon(const FleetMessageReceived &received, const DirectoryBeacon &beacon)
 {
     const DirectoryShare::Reaction reaction = share_.onBeacon(beacon, state(), now());
@@ -254,9 +287,7 @@
     const std::uint64_t version = services_ ? services_->version : 0;
     const Revision before = targets_.revision();
     bool news = content.services && takeServices(content.services);
-    if (content.targets.complete) {
-        peerAnswered_ = true;
-    }
+    peerAnswered_ = true;
     // Changes that do not follow the list are left out; the next beacon makes this balancer ask for all of them.
     if (content.targets.complete || (before.value != 0 && content.targetsAfter <= before)) {
         news = takeTargets(content.targets) || news;
@@ -283,21 +314,29 @@
 
 void DirectoryTask::askPeers(TimePoint time)
 {
-    if (peerAnswered_ || time - startedAt_ > DirectoryShare::JoinTime) {
-        nextAsk_ = TimePoint::max();
+    if (time < nextAsk_) {
         return;
     }
-    if (time < nextAsk_) {
+    const bool alone = zoneMembers().empty();
+    if (time - startedAt_ > DirectoryShare::JoinTime) {
+        nextAsk_ = time + aloneAskPeriod;
+        if (!alone) {
+            return;
+        }
+    } else if (peerAnswered_ && !alone) {
+        nextAsk_ = startedAt_ + DirectoryShare::JoinTime;
         return;
+    } else {
+        nextAsk_ = time + DirectoryShare::RequestTimeout;
     }
-    nextAsk_ = time + DirectoryShare::RequestTimeout;
     std::vector<HostAddress> hosts = zoneMembers();
     for (const auto &more : { gateways(), seeds_ }) {
         std::copy_if(more.begin(), more.end(), std::back_inserter(hosts),
                      [&](const HostAddress &host) { return host != self_; });
     }
     hosts.resize(std::min(hosts.size(), fewPeers));
-    receivers_.toPeers({ std::move(hosts), DirectoryRequest{} });
+    const DirectoryState known = state();
+    receivers_.toPeers({ std::move(hosts), DirectoryRequest{ known.serviceVersion, known.targets } });
 }
 
 void DirectoryTask::sendContent(const std::vector<HostAddress> &hosts, std::uint64_t serviceVersion, Revision targets)
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -35,6 +35,7 @@
     {
         std::function<void(PacketTaskMessage)> toPackets;
         std::function<void(SendFleetMessage)> toPeers;
+        std::function<void(PlatformHosts)> introduce; ///< balancers that the membership may not know
         std::function<void()> ready; ///< services and targets are known; called once
     };
 
@@ -74,6 +75,9 @@
 
     /** Asks others for all that they know, while this balancer is new. */
     void askPeers(TimePoint time);
+    void onRequest(const FleetMessageReceived &received, const DirectoryRequest &request);
+    /** Tells a balancer of another zone which others of that zone asked here or are its gateways. */
+    void introduce(const FleetMessageReceived &received);
     std::vector<HostAddress> zoneMembers() const;
     std::vector<HostAddress> gateways() const;
     void publish(const TargetUpdate &news);
@@ -99,6 +103,7 @@
     TimePoint nextAsk_;
     double linkMbps_;
     std::deque<PendingContent> pending_;
+    absl::flat_hash_map<ZoneId, std::deque<HostAddress>> askers_; ///< of other zones, latest last
     TimePoint nextContent_;
     bool peerAnswered_ = false;
     ZoneId zone_;
--- a/src/host/packethost.cpp
+++ b/src/host/packethost.cpp
@@ -16,7 +16,8 @@
                packetCounters_, output_)
     , directory_(settings_, makeSource,
                  { [this](PacketTaskMessage message) { packets_.post(std::move(message)); },
-                   [this](SendFleetMessage message) { peers_.post(std::move(message)); }, [this] { ready_ = true; } },
+                   [this](SendFleetMessage message) { peers_.post(std::move(message)); },
+                   [this](PlatformHosts hosts) { peers_.post(std::move(hosts)); }, [this] { ready_ = true; } },
                  directoryCounters_, output_)
     , status_(settings_.metrics, settings_.readinessPath, ready_,
               { &packetCounters_, &directoryCounters_, &peerCounters_ })
--- a/src/link/wirefleet.cpp
+++ b/src/link/wirefleet.cpp
@@ -196,6 +196,23 @@
     return report;
 }
 
+void writeIntroduction(schema::Envelope::Builder envelope, const ZoneIntroduction &introduction)
+{
+    auto hosts = envelope.initZoneIntroduction(static_cast<unsigned>(introduction.hosts.size()));
+    for (unsigned i = 0; i < hosts.size(); ++i) {
+        wire::writeAddress(hosts[i], introduction.hosts[i]);
+    }
+}
+
+ZoneIntroduction readIntroduction(schema::Envelope::Reader envelope)
+{
+    ZoneIntroduction introduction;
+    for (const auto host : envelope.getZoneIntroduction()) {
+        introduction.hosts.push_back(wire::readAddress(host));
+    }
+    return introduction;
+}
+
 FleetMessage readFleetMessage(schema::Envelope::Reader envelope)
 {
     switch (envelope.which()) {
@@ -206,6 +223,8 @@
                                  Revision{ envelope.getDirectoryRequest().getTargets() } };
     case schema::Envelope::DIRECTORY_CONTENT:
         return readContent(envelope.getDirectoryContent());
+    case schema::Envelope::ZONE_INTRODUCTION:
+        return readIntroduction(envelope);
     case schema::Envelope::LOAD_REPORT:
         return readReport(envelope);
     default:
@@ -226,6 +245,7 @@
                            to.setTargets(request.targets.value);
                        },
                        [&](const DirectoryContent &content) { writeContent(envelope.initDirectoryContent(), content); },
+                       [&](const ZoneIntroduction &introduction) { writeIntroduction(envelope, introduction); },
                        [&](const LoadReport &report) { writeReport(envelope, report); },
                    },
                    message);
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -140,18 +140,18 @@
     TargetUpdate update;
     update.revision = revision_;
     update.complete = after.value == 0 || after < logStart_;
+    for (const auto &[id, entry] : lapsed_) {
+        update.changes.push_back({ revision_, Listing::Lapsed, entry });
+    }
     if (update.complete) {
         for (const auto &[id, entry] : entries_) {
             update.changes.push_back({ revision_, Listing::Present, entry });
         }
-        for (const auto &[id, entry] : lapsed_) {
-            update.changes.push_back({ revision_, Listing::Lapsed, entry });
-        }
         return update;
     }
     const auto first = std::find_if(log_.begin(), log_.end(),
                                     [&](const TargetChange &change) { return change.revision > after; });
-    update.changes.assign(first, log_.end());
+    update.changes.insert(update.changes.end(), first, log_.end());
     return update;
 }
 
