--- /dev/null
+++ b/tests/flowrouter_tests.cpp
@@ -0,0 +1,336 @@
+#include "service/flowrouter.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace poplarroad;
+
+namespace
+{
+
+constexpr TimePoint start{ std::chrono::seconds(1000) };
+const ZoneId ownZone = zoneIdOf("own");
+const ZoneId otherZone = zoneIdOf("other");
+const ServiceId stock = serviceIdOf("stock");
+const HostAddress route{ 0xc6120001, 443 };
+const HostAddress bidRoute{ 0xc6120001, 444 };
+
+TimePoint at(int milliseconds)
+{
+    return start + Milliseconds(milliseconds);
+}
+
+TargetChange listed(std::uint64_t id, ZoneId zone = ownZone, std::uint16_t slots = 2)
+{
+    TargetChange change;
+    change.revision = Revision{ id };
+    change.target.target.id = TargetId{ id };
+    change.target.target.service = stock;
+    change.target.target.zone = zone;
+    change.target.target.address = { 0x0a000000U + static_cast<std::uint32_t>(id), 8080 };
+    change.target.target.slots = slots;
+    return change;
+}
+
+TargetChange gone(std::uint64_t id)
+{
+    TargetChange change = listed(id);
+    change.listing = Listing::Gone;
+    return change;
+}
+
+std::shared_ptr<ServiceMap> services(std::uint64_t version = 1)
+{
+    auto map = std::make_shared<ServiceMap>();
+    map->version = version;
+    map->routes[route] = { route, { { stock, 1 } }, RequestKind::Idempotent, Urgency::Normal, Milliseconds(1200),
+                           Milliseconds(200) };
+    map->routes[bidRoute] = { bidRoute, { { stock, 1 } }, RequestKind::NonIdempotent, Urgency::High, Milliseconds(1500),
+                              Milliseconds(250) };
+    return map;
+}
+
+FlowKey flowOf(std::uint16_t port, HostAddress service = route)
+{
+    return { { 0x64400007, port }, service };
+}
+
+/** A caller's side of one flow. */
+struct Caller
+{
+    FlowRouter &router;
+    Packet packet;
+
+    Caller(FlowRouter &balancer, std::uint16_t port, HostAddress service = route)
+        : router(balancer)
+    {
+        packet.flow = flowOf(port, service);
+        packet.sequence = 100;
+    }
+    PacketDecision open(TimePoint now, std::uint32_t copy = 0)
+    {
+        packet.opens = true;
+        packet.acknowledged = copy;
+        PacketDecision decision = router.onPacket(packet, now);
+        packet.opens = false;
+        if (const auto *forward = std::get_if<ForwardPacket>(&decision)) {
+            packet.tag = forward->tag;
+        }
+        return decision;
+    }
+    /** Completes the handshake and sends a request. */
+    PacketDecision request(TimePoint now)
+    {
+        packet.acknowledged = packet.acknowledged == 0 ? 5000 : packet.acknowledged;
+        packet.sequence += packet.length;
+        packet.length = 300;
+        return router.onPacket(packet, now);
+    }
+    PacketDecision repeat(TimePoint now)
+    {
+        return router.onPacket(packet, now);
+    }
+    PacketDecision acknowledge(TimePoint now, std::uint32_t bytes = 2000)
+    {
+        packet.acknowledged += bytes;
+        Packet pure = packet;
+        pure.sequence += pure.length;
+        pure.length = 0;
+        return router.onPacket(pure, now);
+    }
+};
+
+TargetId targetOf(const PacketDecision &decision)
+{
+    const auto *forward = std::get_if<ForwardPacket>(&decision);
+    return forward ? forward->target->id : TargetId{};
+}
+
+ResetReason reasonOf(const PacketDecision &decision)
+{
+    REQUIRE(std::holds_alternative<ResetFlow>(decision));
+    return std::get<ResetFlow>(decision).reason;
+}
+
+FlowRouter routerWith(const std::vector<TargetChange> &targets)
+{
+    FlowRouter router(ownZone, 1);
+    router.setServices(services());
+    router.setTargets(targets, true, start);
+    return router;
+}
+
+} // namespace
+
+TEST_CASE("a flow stays with its target at a balancer that has no state of it")
+{
+    FlowRouter first = routerWith({ listed(1), listed(2), listed(3) });
+    FlowRouter second = routerWith({ listed(1), listed(2), listed(3) });
+    Caller caller(first, 1000);
+    const TargetId target = targetOf(caller.open(at(0)));
+    REQUIRE(target.value != 0);
+    Packet data = caller.packet;
+    data.length = 300;
+    CHECK(targetOf(second.onPacket(data, at(10))) == target);
+}
+
+TEST_CASE("a copy of an opening packet tries another target: the first one gave no answer in its usual time")
+{
+    FlowRouter router = routerWith({ listed(1), listed(2) });
+    Caller caller(router, 1000);
+    const TargetId first = targetOf(caller.open(at(0)));
+    const TargetId second = targetOf(caller.open(at(200), 1));
+    CHECK(second.value != 0);
+    CHECK(second != first);
+}
+
+TEST_CASE("new flows are spread evenly over targets of the own zone")
+{
+    FlowRouter router = routerWith({ listed(1), listed(2), listed(3), listed(4, otherZone) });
+    std::map<TargetId, int> counts;
+    for (std::uint16_t port = 0; port < 30; ++port) {
+        Caller caller(router, port);
+        const TargetId target = targetOf(caller.open(at(port)));
+        caller.request(at(port));
+        caller.acknowledge(at(port));
+        ++counts[target];
+    }
+    CHECK(counts[TargetId{ 1 }] == 10);
+    CHECK(counts[TargetId{ 2 }] == 10);
+    CHECK(counts[TargetId{ 3 }] == 10);
+}
+
+TEST_CASE("work that other balancers report counts for the choice of a target")
+{
+    FlowRouter router = routerWith({ listed(1), listed(2) });
+    router.onPeerReport({ 0x0a000001, 7000 }, LoadReport{ { { TargetId{ 1 }, 20, 3, 0, 10 } } }, at(0));
+    for (std::uint16_t port = 0; port < 3; ++port) {
+        Caller caller(router, port);
+        CHECK(targetOf(caller.open(at(port))) == TargetId{ 2 });
+        caller.request(at(port));
+        caller.acknowledge(at(port));
+    }
+}
+
+TEST_CASE("a draining target keeps its flows and gets no new ones")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller caller(router, 1000);
+    REQUIRE(targetOf(caller.open(at(0))) == TargetId{ 1 });
+    TargetChange draining = listed(1);
+    draining.target.target.state = TargetState::Draining;
+    router.setTargets({ draining, listed(2) }, false, at(10));
+    CHECK(targetOf(caller.request(at(20))) == TargetId{ 1 });
+    Caller next(router, 1001);
+    CHECK(targetOf(next.open(at(30))) == TargetId{ 2 });
+}
+
+TEST_CASE("flows of a target that is gone are reset, also those that say nothing")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller caller(router, 1000);
+    caller.open(at(0));
+    caller.request(at(5));
+    caller.acknowledge(at(50));
+    router.setTargets({ gone(1), listed(2) }, false, at(1000));
+    std::vector<ResetFlow> resets;
+    router.onTimer(at(1000), resets);
+    REQUIRE(resets.size() == 1);
+    CHECK(resets.front().flow == caller.packet.flow);
+    CHECK(resets.front().sequence == caller.packet.acknowledged);
+    CHECK(resets.front().reason == ResetReason::TargetGone);
+    CHECK(reasonOf(caller.request(at(1010))) == ResetReason::TargetGone);
+}
+
+TEST_CASE("flows of a target that fell silent are reset, but for non-idempotent requests that wait there")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller feed(router, 1000);
+    Caller bid(router, 1001, bidRoute);
+    Caller idle(router, 1002, bidRoute);
+    for (Caller *caller : { &feed, &bid, &idle }) {
+        caller->open(at(0));
+        caller->request(at(5));
+        caller->acknowledge(at(50));
+    }
+    feed.request(at(100));
+    bid.request(at(100));
+    for (const int time : { 300, 700 }) {
+        feed.repeat(at(time));
+        bid.repeat(at(time));
+    }
+    std::vector<ResetFlow> resets;
+    router.onTimer(at(700), resets);
+    std::vector<FlowKey> ended;
+    for (const ResetFlow &reset : resets) {
+        ended.push_back(reset.flow);
+    }
+    CHECK(std::count(ended.begin(), ended.end(), idle.packet.flow) == 1);
+    CHECK(std::count(ended.begin(), ended.end(), bid.packet.flow) == 0);
+    CHECK(router.targets().at(*router.targets().find(TargetId{ 1 })).evidence.belief() == TargetBelief::Silent);
+}
+
+TEST_CASE("a slow answer of one flow resets no flow while others make progress at the target")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller slow(router, 1000);
+    Caller quick(router, 1001);
+    slow.open(at(0));
+    quick.open(at(0));
+    slow.request(at(5));
+    for (int time = 10; time < 1400; time += 100) {
+        quick.request(at(time));
+        quick.acknowledge(at(time + 40));
+        if (time == 210 || time == 610) {
+            CHECK(targetOf(slow.repeat(at(time))) == TargetId{ 1 });
+        }
+    }
+    std::vector<ResetFlow> resets;
+    router.onTimer(at(1400), resets);
+    CHECK(resets.empty());
+}
+
+TEST_CASE("packets for a route that never existed get no answer, those for a removed route a reset")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller unknown(router, 1000, { 0xc6120001, 9 });
+    CHECK(std::get<DropPacket>(unknown.open(at(0))).reason == DropReason::UnknownRoute);
+    auto fewer = services(2);
+    fewer->routes.erase(route);
+    router.setServices(fewer);
+    Caller removed(router, 1001);
+    CHECK(reasonOf(removed.open(at(10))) == ResetReason::RouteRemoved);
+    router.setServices(services(3));
+    CHECK(targetOf(removed.open(at(20))) == TargetId{ 1 });
+}
+
+TEST_CASE("a packet with a tag that names nothing goes to no target")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Packet forged;
+    forged.flow = flowOf(1000);
+    forged.tag = PacketTag{ 0xdeadbeef };
+    forged.length = 10;
+    CHECK(std::get<DropPacket>(router.onPacket(forged, at(0))).reason == DropReason::UnknownTag);
+}
+
+TEST_CASE("a change of the routes leaves an open flow where it is")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller caller(router, 1000);
+    caller.open(at(0));
+    auto moved = services(2);
+    moved->routes[route].services = { { serviceIdOf("photos"), 1 } };
+    router.setServices(moved);
+    CHECK(targetOf(caller.request(at(10))) == TargetId{ 1 });
+}
+
+TEST_CASE("in a flood of feeds new feeds are refused at once and bids are still admitted")
+{
+    FlowRouter router = routerWith({ listed(1, ownZone, 1) });
+    std::uint16_t port = 0;
+    std::optional<PacketDecision> refused;
+    while (!refused && port < 50) {
+        Caller feed(router, port++);
+        PacketDecision decision = feed.open(at(0));
+        if (std::holds_alternative<ResetFlow>(decision)) {
+            refused = decision;
+        }
+    }
+    REQUIRE(refused);
+    CHECK(reasonOf(*refused) == ResetReason::Overload);
+    Caller bid(router, 2000, bidRoute);
+    CHECK(targetOf(bid.open(at(1))) == TargetId{ 1 });
+}
+
+TEST_CASE("idle flows are forgotten and no longer count at their target")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller caller(router, 1000);
+    caller.open(at(0));
+    std::vector<ResetFlow> resets;
+    router.onTimer(at(30000), resets);
+    CHECK(router.flows() == 0);
+    CHECK(resets.empty());
+    CHECK(router.targets().at(*router.targets().find(TargetId{ 1 })).flows == 0);
+}
+
+TEST_CASE("flows survive a random series of starts, drains and ends of other targets")
+{
+    SeededRandom random(7);
+    FlowRouter router = routerWith({ listed(1), listed(2) });
+    Caller caller(router, 1000);
+    const TargetId target = targetOf(caller.open(at(0)));
+    for (int step = 1; step < 2000; ++step) {
+        const std::uint64_t id = 3 + random.below(20);
+        TargetChange change = random.below(3) == 0 ? gone(id) : listed(id);
+        change.target.target.state = random.below(2) == 0 ? TargetState::Active : TargetState::Draining;
+        router.setTargets({ change }, false, at(step));
+        CHECK(targetOf(caller.request(at(step))) == target);
+        CHECK(targetOf(caller.acknowledge(at(step))) == target);
+        std::vector<ResetFlow> resets;
+        router.onTimer(at(step), resets);
+        CHECK(resets.empty());
+    }
+}
--- /dev/null
+++ b/tests/platformadapter_tests.cpp
@@ -0,0 +1,200 @@
+#include "platform/flowpacketcodec.h"
+#include "platform/storeobjects.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace poplarroad;
+using namespace poplarroad::platform;
+
+namespace
+{
+
+std::string bytesOf(std::initializer_list<int> bytes)
+{
+    std::string result;
+    for (const int byte : bytes) {
+        result += static_cast<char>(byte);
+    }
+    return result;
+}
+
+/** SYN from 100.64.0.7:40001 to 198.18.0.1:443, the example of the platform's pages. */
+std::string openingPacket()
+{
+    return bytesOf({ 0x00, 0x00, 0x00, 0x00, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00,
+                     0x01, 0x00, 0x00, 0x00, 0x00, 0x00, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41,
+                     0x64, 0x40, 0x00, 0x07, 0x01, 0xbb, 0xa1, 0xb2, 0xc3, 0xd5, 0x00, 0x00 });
+}
+
+const FlowKey exampleFlow{ { 0x64400007, 40001 }, { 0xc6120001, 443 } };
+
+} // namespace
+
+TEST_CASE("the head of an opening packet is read as the platform writes it")
+{
+    FlowPacketCodec codec;
+    const auto packet = codec.decode(openingPacket());
+    REQUIRE(packet);
+    CHECK(packet->flow == exampleFlow);
+    CHECK(packet->opens);
+    CHECK(packet->sequence == 0x11223344);
+    CHECK(packet->tag == PacketTag{});
+    CHECK(packet->length == 0);
+}
+
+TEST_CASE("a reset has the bytes of the platform's example")
+{
+    const std::string reset = FlowPacketCodec().encodeReset(exampleFlow, 0);
+    CHECK(reset == bytesOf({ 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+                             0x20, 0x00, 0x00, 0x00, 0x00, 0x00, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb,
+                             0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00 }));
+}
+
+TEST_CASE("a forwarded packet is the caller's but for the tag, behind the number of its target")
+{
+    FlowPacketCodec codec;
+    const std::string datagram = openingPacket();
+    REQUIRE(codec.decode(datagram));
+    Target target;
+    target.id = TargetId{ 0x7f3a91c2 };
+    const PacketHead head = codec.headFor(target, PacketTag{ 0x01020304 }, datagram);
+    const std::string forwarded = std::string(head.view()) + datagram.substr(head.replaces);
+    CHECK(forwarded.substr(0, 8) == bytesOf({ 0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2 }));
+    CHECK(forwarded.substr(8, 4) == bytesOf({ 1, 2, 3, 4 }));
+    CHECK(forwarded.substr(12) == datagram.substr(4));
+}
+
+TEST_CASE("datagrams that are no packets are refused with a reason")
+{
+    FlowPacketCodec codec;
+    CHECK_FALSE(codec.decode(""));
+    CHECK(codec.lastError() == PacketError::TooShort);
+    CHECK_FALSE(codec.decode(openingPacket().substr(0, 35)));
+    CHECK(codec.lastError() == PacketError::TooShort);
+    CHECK_FALSE(codec.decode(std::string(36 + 1201, '\0')));
+    CHECK(codec.lastError() == PacketError::TooLong);
+    CHECK_FALSE(codec.decode(openingPacket() + "x"));
+    CHECK(codec.lastError() == PacketError::LengthMismatch);
+    std::string contradicting = openingPacket();
+    contradicting[12] = 1 | 32;
+    CHECK_FALSE(codec.decode(contradicting));
+    CHECK(codec.lastError() == PacketError::ContradictingFlags);
+}
+
+TEST_CASE("random bytes never make the packet codec read outside of the datagram")
+{
+    rc::check("decode and forward", [](const std::string &bytes) {
+        FlowPacketCodec codec;
+        const auto packet = codec.decode(bytes);
+        RC_ASSERT(packet.has_value() != codec.lastError().has_value());
+        if (packet) {
+            RC_ASSERT(codec.headFor({}, PacketTag{ 1 }, bytes).size == 44U);
+        }
+    });
+}
+
+TEST_CASE("a target's number is read from its name")
+{
+    CHECK(targetNumber("i-7f3a91c2") == TargetId{ 0x7f3a91c2 });
+    CHECK(targetNumber("i-ab46c8a70f") == TargetId{ 0xab46c8a70f });
+    CHECK(targetNumber("0123456789abcdef") == TargetId{ 0x0123456789abcdef });
+    CHECK_FALSE(targetNumber("i-"));
+    CHECK_FALSE(targetNumber("i-xyz"));
+    CHECK_FALSE(targetNumber("i-0123456789abcdef0"));
+    CHECK_FALSE(targetNumber(""));
+}
+
+TEST_CASE("a list of targets is read, and entries of other writers are left out")
+{
+    const std::string body = R"({"items":[
+        {"meta":{"name":"i-7f3a91c2","revision":5},"spec":{"service":"a","address":"10.1.0.9:8080","zone":"z",
+         "version":"v1","maxConcurrency":3,"state":"ready","warmupLeftMs":250,"seq":4,"born":1700000000000}},
+        {"meta":{"name":"i-1","revision":6},"spec":{"service":"a","address":"10.1.0.9:8080","zone":"z",
+         "maxConcurrency":3,"state":"resting"}},
+        {"meta":{"name":"i-2","revision":7},"spec":{"service":7,"address":"10.1.0.9:8080","zone":"z",
+         "maxConcurrency":3,"state":"ready"}},
+        {"meta":{"name":"i-3","revision":8},"spec":"unreadable"},
+        {"meta":{"name":"i-4","revision":9},"spec":{"service":"a","address":"10.1.0.9","zone":"z",
+         "maxConcurrency":3,"state":"ready"}},
+        {"meta":{"name":"i-5","revision":10},"spec":{"service":"a","address":"10.1.0.9:8080","zone":"z",
+         "maxConcurrency":0,"state":"ready"}},
+        {"meta":{"name":"i-6","revision":11},"spec":{"service":"a","address":"10.1.0.10:8080","zone":"z",
+         "maxConcurrency":2,"state":"draining"}}],"truncated":true,"currentRev":530})";
+    const StorePage page = decodeList(DirectoryPart::Targets, body);
+    REQUIRE_FALSE(page.answer.error);
+    CHECK(page.truncated);
+    CHECK(page.last == "i-6");
+    CHECK(page.answer.revision == Revision{ 530 });
+    CHECK(page.answer.refusedEntries == 5);
+    REQUIRE(page.answer.targets.size() == 2);
+    const ListedTarget &first = page.answer.targets.front().target;
+    CHECK(first.target.id == TargetId{ 0x7f3a91c2 });
+    CHECK(first.target.service == serviceIdOf("a"));
+    CHECK(first.target.zone == zoneIdOf("z"));
+    CHECK(first.target.slots == 3);
+    CHECK(first.warmup == Milliseconds(250));
+    CHECK(first.instance == 1700000000000);
+    CHECK(page.answer.targets.back().target.target.state == TargetState::Draining);
+}
+
+TEST_CASE("routes are read with their kinds, weights and urgencies")
+{
+    const std::string body = R"({"items":[{"meta":{"name":"main","revision":9},"spec":{"version":7,"routes":[
+        {"name":"r1","hostname":"198.18.0.1","pathPrefix":"/8443/","type":"idempotent","timeoutMs":1200,
+         "targetLatencyMs":200,"priority":2,"split":[{"service":"a","weight":90},{"service":"b","weight":10}]},
+        {"name":"r2","hostname":"198.18.0.1","pathPrefix":"/8080/","type":"non_idempotent","timeoutMs":1500,
+         "targetLatencyMs":250,"priority":1,"service":"a"},
+        {"name":"r3","hostname":"198.18.0.2","pathPrefix":"/8080/","type":"download","timeoutMs":3000,
+         "targetLatencyMs":500,"priority":0,"service":"b"}],
+        "limits":{"idleTimeoutMs":15000}}}],"truncated":false,"currentRev":12})";
+    const StorePage page = decodeList(DirectoryPart::Services, body);
+    REQUIRE(page.answer.services);
+    const ServiceMap &map = *page.answer.services;
+    CHECK(map.version == 7);
+    CHECK(map.idleTimeout == Milliseconds(15000));
+    REQUIRE(map.routes.size() == 3);
+    const ServiceRoute &split = map.routes.at({ 0xc6120001, 8443 });
+    CHECK(split.services == std::vector<WeightedService>{ { serviceIdOf("a"), 90 }, { serviceIdOf("b"), 10 } });
+    CHECK(split.kind == RequestKind::Idempotent);
+    CHECK(split.urgency == Urgency::Normal);
+    CHECK(map.routes.at({ 0xc6120001, 8080 }).kind == RequestKind::NonIdempotent);
+    CHECK(map.routes.at({ 0xc6120001, 8080 }).urgency == Urgency::High);
+    CHECK(map.routes.at({ 0xc6120002, 8080 }).kind == RequestKind::Download);
+}
+
+TEST_CASE("events of a watch name what changed and what was deleted")
+{
+    const std::string body = R"({"events":[
+        {"deleted":true,"object":{"meta":{"name":"i-7f3a91c2","revision":531},"spec":null}},
+        {"deleted":false,"object":{"meta":{"name":"i-8","revision":532},"spec":{"service":"a",
+         "address":"10.1.0.9:8080","zone":"z","maxConcurrency":3,"state":"ready"}}}],"currentRev":533})";
+    const DirectoryAnswer answer = decodeEvents(DirectoryPart::Targets, body);
+    REQUIRE_FALSE(answer.error);
+    CHECK(answer.revision == Revision{ 533 });
+    REQUIRE(answer.targets.size() == 2);
+    CHECK(answer.targets.front().listing == Listing::Gone);
+    CHECK(answer.targets.front().target.target.id == TargetId{ 0x7f3a91c2 });
+    CHECK(answer.targets.back().listing == Listing::Present);
+}
+
+TEST_CASE("bodies that are not what the store answers are refused")
+{
+    for (const char *body : { "", "{", "[]", "null", "7", R"({"items":7,"currentRev":1})", R"({"items":[]})",
+                              R"({"items":[{}],"currentRev":1})", R"({"items":[],"currentRev":"x"})" }) {
+        INFO(body);
+        CHECK(decodeList(DirectoryPart::Targets, body).answer.error == StoreError::Malformed);
+        CHECK(decodeEvents(DirectoryPart::Targets, body).error == StoreError::Malformed);
+    }
+    CHECK(decodeList(DirectoryPart::Services, R"({"items":[{"meta":{"name":"main"},"spec":{"version":"x"}}],"currentRev":1})")
+              .answer.error
+          == StoreError::Malformed);
+}
+
+TEST_CASE("random bytes are never taken for an answer of the store")
+{
+    rc::check("decodeList", [](const std::string &body) {
+        RC_ASSERT(decodeList(DirectoryPart::Targets, body).answer.error == StoreError::Malformed);
+        RC_ASSERT(decodeEvents(DirectoryPart::Services, body).error == StoreError::Malformed);
+    });
+}
--- a/tests/settings_tests.cpp
+++ b/tests/settings_tests.cpp
@@ -106,3 +106,60 @@
     CHECK_FALSE(loader.load(file.path()));
     CHECK_THAT(loader.lastDetail(), !Catch::Contains("secretsecret"));
 }
+
+TEST_CASE("a balancer for packets needs no operator address and no keys, and takes its host's size")
+{
+    const File file("[host]\nfrontend = packets\nzone = a\ncallers = 127.0.0.1:1\npeers = 127.0.0.1:2\n"
+                    "metrics = 127.0.0.1:3\nreadiness-path = /ready\nseeds =\nprocessor-share = 0.055\n"
+                    "link-mbps = 10\ndrain-time-ms = 1500\n"
+                    + platform);
+    SettingsLoader loader;
+    const auto settings = loader.load(file.path());
+    INFO(loader.lastDetail());
+    REQUIRE(settings);
+    CHECK(settings->frontend == Frontend::Packets);
+    CHECK(settings->seeds.empty());
+    CHECK(settings->processorShare == Approx(0.055));
+    CHECK(settings->linkMbps == Approx(10));
+    CHECK(settings->readinessPath == "/ready");
+    CHECK(settings->drainTime == Milliseconds(1500));
+}
+
+TEST_CASE("balancers with the same text derive the same key, others another one")
+{
+    const std::string packets = "[host]\nfrontend = packets\nzone = a\ncallers = 127.0.0.1:1\npeers = 127.0.0.1:2\n"
+                                "metrics = 127.0.0.1:3\n"
+        + platform + "[keys]\nderive-from = ";
+    const auto loaded = [&](const std::string &text) {
+        const File file(packets + text + "\n");
+        return SettingsLoader().load(file.path());
+    };
+    const auto one = loaded("10.0.0.1:9");
+    const auto again = loaded("10.0.0.1:9");
+    const auto other = loaded("10.0.0.2:9");
+    REQUIRE(one);
+    REQUIRE(again);
+    REQUIRE(other);
+    CHECK(one->keys == again->keys);
+    CHECK(one->keys != other->keys);
+}
+
+TEST_CASE("values of the frontend for packets are refused with what is accepted")
+{
+    const std::vector<Refusal> refusals{
+        { "[host]\nfrontend = frames\n", SettingsError::InvalidValue, { "frontend", "'frames'", "packets" } },
+        { "[host]\nprocessor-share = 0\n", SettingsError::InvalidValue, { "processor-share", "'0'", "cores" } },
+        { "[host]\nlink-mbps = fast\n", SettingsError::InvalidValue, { "link-mbps", "'fast'", "megabits" } },
+        { "[host]\nreadiness-path = ready\n", SettingsError::InvalidValue, { "readiness-path", "'ready'", "/" } },
+        { "[host]\ndrain-time-ms = -1\n", SettingsError::InvalidValue, { "drain-time-ms", "'-1'", "milliseconds" } },
+    };
+    for (const Refusal &refusal : refusals) {
+        const File file(refusal.text);
+        SettingsLoader loader;
+        CHECK_FALSE(loader.load(file.path()));
+        CHECK(loader.lastError() == refusal.error);
+        for (const std::string &name : refusal.named) {
+            CHECK_THAT(loader.lastDetail(), Catch::Contains(name));
+        }
+    }
+}
--- /dev/null
+++ b/tests/wirefleet_tests.cpp
@@ -0,0 +1,128 @@
+#include "link/wire.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace poplarroad;
+
+namespace
+{
+
+WireCodec codec()
+{
+    return WireCodec(TokenCodec(KeyRing({ Key{} })));
+}
+
+FleetMessage roundTrip(const FleetMessage &message)
+{
+    WireCodec reader = codec();
+    auto decoded = reader.decodeFleetMessage(encodeFleetMessage(message));
+    REQUIRE(decoded);
+    return std::move(*decoded);
+}
+
+ServiceMapPtr manyRoutes(std::uint16_t count)
+{
+    auto map = std::make_shared<ServiceMap>();
+    map->version = 9;
+    for (std::uint16_t port = 0; port < count; ++port) {
+        const HostAddress address{ 0xc6120001, port };
+        map->routes[address] = { address,
+                                 { { serviceIdOf("a"), 90 }, { serviceIdOf("b"), 10 } },
+                                 port % 2 == 0 ? RequestKind::Download : RequestKind::NonIdempotent,
+                                 Urgency::High,
+                                 Milliseconds(1500),
+                                 Milliseconds(250) };
+    }
+    return map;
+}
+
+TargetChange target(std::uint64_t id, Listing listing)
+{
+    TargetChange change;
+    change.revision = Revision{ 100 + id };
+    change.listing = listing;
+    change.target.instance = 1'700'000'000'000;
+    change.target.warmup = Milliseconds(1500);
+    change.target.target.id = TargetId{ id };
+    change.target.target.name = "i-" + std::to_string(id);
+    change.target.target.service = serviceIdOf("a");
+    change.target.target.zone = zoneIdOf("z");
+    change.target.target.address = { 0x0a000001, 8080 };
+    change.target.target.slots = 3;
+    change.target.target.state = TargetState::Draining;
+    return change;
+}
+
+} // namespace
+
+TEST_CASE("a beacon arrives as it was sent")
+{
+    const DirectoryBeacon beacon{ { 0x0a000001, 7000 }, 500, 12, Revision{ 99 }, 1234, true };
+    CHECK(std::get<DirectoryBeacon>(roundTrip(beacon)) == beacon);
+}
+
+TEST_CASE("a request and an introduction arrive as they were sent")
+{
+    const DirectoryRequest request{ 7, Revision{ 8 } };
+    CHECK(std::get<DirectoryRequest>(roundTrip(request)) == request);
+    const ZoneIntroduction introduction{ { { 0x0a000001, 7000 }, { 0x0a000002, 7000 } } };
+    CHECK(std::get<ZoneIntroduction>(roundTrip(introduction)) == introduction);
+}
+
+TEST_CASE("content keeps every route and target")
+{
+    const DirectoryContent content{ manyRoutes(300),
+                                    Revision{ 50 },
+                                    { Revision{ 60 },
+                                      true,
+                                      { target(1, Listing::Present), target(2, Listing::Lapsed),
+                                        target(3, Listing::Gone) } } };
+    const auto arrived = std::get<DirectoryContent>(roundTrip(content));
+    REQUIRE(arrived.services);
+    CHECK(*arrived.services == *content.services);
+    CHECK(arrived.targetsAfter == content.targetsAfter);
+    CHECK(arrived.targets == content.targets);
+}
+
+TEST_CASE("content without services says so")
+{
+    const DirectoryContent content{ nullptr, Revision{ 50 }, { Revision{ 60 }, false, {} } };
+    CHECK_FALSE(std::get<DirectoryContent>(roundTrip(content)).services);
+}
+
+TEST_CASE("a thousand routes that differ in their addresses only take some 8 bytes each")
+{
+    const DirectoryContent content{ manyRoutes(1000), {}, {} };
+    CHECK(encodeFleetMessage(content).size() < 10'000);
+}
+
+TEST_CASE("a load report arrives as it was sent")
+{
+    const LoadReport report{ { { TargetId{ 7 }, 20, 3, 1, 450 }, { TargetId{ 8 }, 1, 0, 0, 0 } } };
+    CHECK(std::get<LoadReport>(roundTrip(report)) == report);
+}
+
+TEST_CASE("a message of another kind is not taken for a fleet message")
+{
+    WireCodec reader = codec();
+    CHECK_FALSE(reader.decodeFleetMessage(encodePeerDatagram(Ping{})));
+    CHECK(reader.lastError() == WireError::UnexpectedKind);
+}
+
+TEST_CASE("damaged fleet messages are refused or read, never more")
+{
+    rc::check("one byte changed", [](std::uint16_t position, std::uint8_t value) {
+        const DirectoryContent content{ manyRoutes(5), Revision{ 1 }, { Revision{ 2 }, true, { target(1, Listing::Present) } } };
+        std::string bytes = encodeFleetMessage(content);
+        bytes[position % bytes.size()] = static_cast<char>(value);
+        WireCodec reader = codec();
+        const auto decoded = reader.decodeFleetMessage(bytes);
+        RC_ASSERT(decoded.has_value() != reader.lastError().has_value());
+    });
+    rc::check("cut short", [](std::uint16_t length) {
+        const std::string bytes = encodeFleetMessage(DirectoryContent{ manyRoutes(5), {}, {} });
+        WireCodec reader = codec();
+        RC_ASSERT(!reader.decodeFleetMessage(std::string_view(bytes).substr(0, length % bytes.size())));
+    });
+}
