--- a/src/host/counters.cpp
+++ b/src/base/counters.cpp
@@ -1,4 +1,4 @@
-#include "host/counters.h"
+#include "base/counters.h"
 
 namespace poplarroad
 {
--- a/src/host/counters.h
+++ b/src/base/counters.h
@@ -1,5 +1,5 @@
-#ifndef POPLARROAD_HOST_COUNTERS_H
-#define POPLARROAD_HOST_COUNTERS_H
+#ifndef POPLARROAD_BASE_COUNTERS_H
+#define POPLARROAD_BASE_COUNTERS_H
 
 #include "poplarroad/enumnames.h"
 
--- a/src/host/eventloop.cpp
+++ b/src/base/eventloop.cpp
@@ -1,4 +1,4 @@
-#include "eventloop.h"
+#include "base/eventloop.h"
 
 #include <algorithm>
 
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -115,8 +115,8 @@
     }
     askPeers(time);
     sendNextContent(time);
-    TimePoint next = std::min({ targets_.nextTimer(), share_.nextTimer(time), nextAsk_,
-                                pending_.empty() ? TimePoint::max() : nextContent_ });
+    TimePoint next = std::min(
+        { targets_.nextTimer(), share_.nextTimer(time), nextAsk_, pending_.empty() ? TimePoint::max() : nextContent_ });
     for (const auto &[part, name] : EnumNames<DirectoryPart>::table) {
         if (const auto due = feed(part).next(time)) {
             call(part, *due);
@@ -230,7 +230,9 @@
     std::visit(Visitor{
                    [&](const DirectoryBeacon &beacon) { onBeacon(received, beacon); },
                    [&](const DirectoryRequest &request) { onRequest(received, request); },
-                   [&](const ZoneIntroduction &introduction) { receivers_.introduce({ introduction.hosts, {} }); },
+                   [&](const ZoneIntroduction &introduction) {
+                       receivers_.introduce({ introduction.hosts, {} });
+                   },
                    [&](const DirectoryContent &content) { onContent(received, content); },
                    [](const LoadReport &) {}, // for the task of the packets
                },
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_HOST_DIRECTORYTASK_H
 #define POPLARROAD_HOST_DIRECTORYTASK_H
 
-#include "counters.h"
+#include "base/counters.h"
 #include "eventlog.h"
 #include "link/directorysource.h"
 #include "mailbox.h"
@@ -39,8 +39,8 @@
         std::function<void()> ready; ///< services and targets are known; called once
     };
 
-    DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers,
-                  CounterSet &counters, LogSink &logSink);
+    DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers, CounterSet &counters,
+                  LogSink &logSink);
 
     void start();
     /** Callable from any thread. */
--- a/src/host/dispatchtask.h
+++ b/src/host/dispatchtask.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_HOST_DISPATCHTASK_H
 #define POPLARROAD_HOST_DISPATCHTASK_H
 
-#include "counters.h"
+#include "base/counters.h"
 #include "link/targetconnections.h"
 #include "link/wire.h"
 #include "mailbox.h"
--- a/src/host/mailbox.h
+++ b/src/host/mailbox.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_HOST_MAILBOX_H
 #define POPLARROAD_HOST_MAILBOX_H
 
-#include "eventloop.h"
+#include "base/eventloop.h"
 
 #include <sys/eventfd.h>
 #include <unistd.h>
--- a/src/host/packethost.cpp
+++ b/src/host/packethost.cpp
@@ -12,8 +12,9 @@
     , log_(output_)
     , links_(makeLinks())
     , peers_(settings_, links_, peerCounters_)
-    , packets_(settings_, std::move(codec), [this](SendFleetMessage message) { peers_.post(std::move(message)); },
-               packetCounters_, output_)
+    , packets_(
+          settings_, std::move(codec), [this](SendFleetMessage message) { peers_.post(std::move(message)); },
+          packetCounters_, output_)
     , directory_(settings_, makeSource,
                  { [this](PacketTaskMessage message) { packets_.post(std::move(message)); },
                    [this](SendFleetMessage message) { peers_.post(std::move(message)); },
@@ -52,9 +53,9 @@
 
 bool PacketHost::start()
 {
-    for (const auto &[bound, address] : { std::pair(packets_.bound(), settings_.callers),
-                                          std::pair(status_.bound(), settings_.metrics),
-                                          std::pair(peers_.bound(), settings_.peers) }) {
+    for (const auto &[bound, address] :
+         { std::pair(packets_.bound(), settings_.callers), std::pair(status_.bound(), settings_.metrics),
+           std::pair(peers_.bound(), settings_.peers) }) {
         if (!bound) {
             std::cerr << "cannot bind " << toString(address) << '\n';
             return false;
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -25,8 +25,7 @@
 } // namespace
 
 PacketTask::PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec,
-                       std::function<void(SendFleetMessage)> toPeers, CounterSet &counters,
-                       LogSink &logSink)
+                       std::function<void(SendFleetMessage)> toPeers, CounterSet &counters, LogSink &logSink)
     : callerPort_(settings.callers.port)
     , codec_(std::move(codec))
     , toPeers_(std::move(toPeers))
@@ -63,7 +62,7 @@
 {
     std::visit(Visitor{
                    [&](ServicesInForce &inForce) { router_.setServices(std::move(inForce.services)); },
-                   [&](const TargetUpdate &update) { 
+                   [&](const TargetUpdate &update) {
                        router_.setTargets(update.changes, update.complete, now());
                        timer_.armAt(router_.nextTimer());
                    },
--- a/src/host/packettask.h
+++ b/src/host/packettask.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_HOST_PACKETTASK_H
 #define POPLARROAD_HOST_PACKETTASK_H
 
-#include "counters.h"
+#include "base/counters.h"
 #include "eventlog.h"
 #include "link/datagramsocket.h"
 #include "link/packetcodec.h"
--- a/src/host/peertask.cpp
+++ b/src/host/peertask.cpp
@@ -242,9 +242,7 @@
 {
     for (const MembershipAction &action : actions) {
         std::visit(Visitor{
-                       [&](const SendDatagram &send) {
-                           sendDatagram(send.to, encodePeerDatagram(send.datagram));
-                       },
+                       [&](const SendDatagram &send) { sendDatagram(send.to, encodePeerDatagram(send.datagram)); },
                        [&](const ViewChanged &changed) {
                            links_.toCallers(FleetViewChanged{ changed.view });
                            links_.toDispatch(FleetViewChanged{ changed.view });
--- a/src/host/peertask.h
+++ b/src/host/peertask.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_HOST_PEERTASK_H
 #define POPLARROAD_HOST_PEERTASK_H
 
-#include "counters.h"
+#include "base/counters.h"
 #include "link/datagramsocket.h"
 #include "link/framelink.h"
 #include "link/peerauth.h"
--- a/src/host/settings.cpp
+++ b/src/host/settings.cpp
@@ -143,7 +143,8 @@
     KeyRow{ "host", "peers", Need::Always, addressTo<&Settings::peers>, anAddress },
     KeyRow{ "host", "operator", Need::Requests, addressTo<&Settings::operators>, anAddress },
     KeyRow{ "host", "metrics", Need::Always, addressTo<&Settings::metrics>, anAddress },
-    KeyRow{ "host", "seeds", Need::Optional, takeSeeds, "addresses of balancers, a.b.c.d:port, with commas between them" },
+    KeyRow{ "host", "seeds", Need::Optional, takeSeeds,
+            "addresses of balancers, a.b.c.d:port, with commas between them" },
     KeyRow{ "host", "leave-timeout-ms", Need::Optional,
             [](Settings &settings, const std::string &value) {
                 return takeMilliseconds(settings.leaveTimeout, value, 3'600'000);
--- a/src/host/statustask.h
+++ b/src/host/statustask.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_HOST_STATUSTASK_H
 #define POPLARROAD_HOST_STATUSTASK_H
 
-#include "counters.h"
+#include "base/counters.h"
 #include "mailbox.h"
 #include "poplarroad/host.h"
 #include "taskmessages.h"
--- a/src/host/taskmessages.h
+++ b/src/host/taskmessages.h
@@ -4,6 +4,7 @@
 #include "poplarroad/configsync.h"
 #include "poplarroad/dispatcher.h"
 #include "poplarroad/fleetmessages.h"
+#include "poplarroad/forward.h"
 #include "poplarroad/membership.h"
 #include "poplarroad/router.h"
 
@@ -29,22 +30,6 @@
     std::shared_ptr<const FleetView> view;
 };
 
-/** A reply of a dispatcher to the ingress that received the request. */
-struct ForwardedReply
-{
-    ReturnPath path;
-    CallerReply reply;
-    std::optional<PoolReport> report;
-};
-
-/** A caller's message that one balancer forwards to another. */
-struct ForwardedMessage
-{
-    ReturnPath path;
-    std::uint8_t hops = 0;
-    CallerMessage message;
-};
-
 /** Close sockets, finish and leave the loop. */
 struct StopTask
 {
@@ -195,8 +180,9 @@
 };
 
 /** Messages to the task that owns the sockets to other balancers and the membership. */
-using PeerTaskMessage = std::variant<ConfigurationInForce, SendForward, SendForwardedReply, SendConfigMessage,
-                                     SendFleetMessage, PlatformHosts, ProcessPaused, BeginLeave, MembershipStatusQuery, StopTask>;
+using PeerTaskMessage =
+    std::variant<ConfigurationInForce, SendForward, SendForwardedReply, SendConfigMessage, SendFleetMessage,
+                 PlatformHosts, ProcessPaused, BeginLeave, MembershipStatusQuery, StopTask>;
 
 /** A configuration message from another balancer. */
 struct PeerConfigReceived
--- a/src/host/taskthread.h
+++ b/src/host/taskthread.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_HOST_TASKTHREAD_H
 #define POPLARROAD_HOST_TASKTHREAD_H
 
-#include "eventloop.h"
+#include "base/eventloop.h"
 
 #include <pthread.h>
 
--- a/src/link/datagramsocket.h
+++ b/src/link/datagramsocket.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_LINK_DATAGRAMSOCKET_H
 #define POPLARROAD_LINK_DATAGRAMSOCKET_H
 
-#include "host/eventloop.h"
+#include "base/eventloop.h"
 #include "poplarroad/host.h"
 
 #include <array>
--- a/src/link/framelink.h
+++ b/src/link/framelink.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_LINK_FRAMELINK_H
 #define POPLARROAD_LINK_FRAMELINK_H
 
-#include "host/eventloop.h"
+#include "base/eventloop.h"
 #include "link/wire.h"
 #include "poplarroad/enumnames.h"
 #include "poplarroad/host.h"
--- a/src/link/platformclient.h
+++ b/src/link/platformclient.h
@@ -4,7 +4,7 @@
 #include "httpcaller.h"
 #include "objectstore.h"
 
-#include "host/eventloop.h"
+#include "base/eventloop.h"
 #include "poplarroad/host.h"
 
 #include <functional>
--- a/src/link/targetconnections.h
+++ b/src/link/targetconnections.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_LINK_TARGETCONNECTIONS_H
 #define POPLARROAD_LINK_TARGETCONNECTIONS_H
 
-#include "host/counters.h"
+#include "base/counters.h"
 #include "link/framelink.h"
 #include "link/wire.h"
 #include "poplarroad/dispatcher.h"
--- a/src/link/wire.h
+++ b/src/link/wire.h
@@ -1,10 +1,11 @@
 #ifndef POPLARROAD_LINK_WIRE_H
 #define POPLARROAD_LINK_WIRE_H
 
-#include "host/taskmessages.h"
+#include "poplarroad/configsync.h"
 #include "poplarroad/dispatcher.h"
 #include "poplarroad/enumnames.h"
 #include "poplarroad/fleetmessages.h"
+#include "poplarroad/forward.h"
 #include "poplarroad/membership.h"
 #include "poplarroad/request.h"
 #include "poplarroad/tokencodec.h"
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -340,7 +340,8 @@
         for (const FlowKey &key : keys) {
             const PacketFlow &flow = *flows_.find(key);
             if (flow.open && (gone || mayReset(flow))) {
-                resets.push_back({ key, flow.acknowledged, gone ? ResetReason::TargetGone : ResetReason::TargetSilent });
+                resets.push_back(
+                    { key, flow.acknowledged, gone ? ResetReason::TargetGone : ResetReason::TargetSilent });
                 flows_.remove(key);
             }
         }
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -3,8 +3,8 @@
 
 #include "poplarroad/directory.h"
 #include "poplarroad/packet.h"
-#include "service/packetflows.h"
 #include "service/openingadmission.h"
+#include "service/packetflows.h"
 #include "target/peerloads.h"
 #include "target/targettable.h"
 #include "zone/seededrandom.h"
@@ -146,8 +146,8 @@
     void endLostFlows(std::vector<ResetFlow> &resets);
     ServiceId serviceOf(const ServiceRoute &route, const Packet &packet) const;
     /** @return the target for a new flow, or nothing when none takes one */
-    std::optional<TargetIndex> choose(const ServiceRoute &route, const Packet &packet,
-                                      std::optional<TargetIndex> avoid, TimePoint now);
+    std::optional<TargetIndex> choose(const ServiceRoute &route, const Packet &packet, std::optional<TargetIndex> avoid,
+                                      TimePoint now);
     /** @return the part of their time that the flows of these targets wait for answers */
     double busyPart(const std::vector<TargetIndex> &targets) const;
     /** @return the requests that wait at a target for each of its slots, those that run included */
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -119,8 +119,8 @@
     while (!lapses_.empty() && lapses_.front().until <= now) {
         const TargetId target = lapses_.front().target;
         lapses_.pop_front();
-        const auto later = std::any_of(lapses_.begin(), lapses_.end(),
-                                       [&](const Lapse &lapse) { return lapse.target == target; });
+        const auto later =
+            std::any_of(lapses_.begin(), lapses_.end(), [&](const Lapse &lapse) { return lapse.target == target; });
         if (!later && lapsed_.erase(target) > 0) {
             TargetChange gone{ revision_, Listing::Gone, {} };
             gone.target.target.id = target;
@@ -149,8 +149,8 @@
         }
         return update;
     }
-    const auto first = std::find_if(log_.begin(), log_.end(),
-                                    [&](const TargetChange &change) { return change.revision > after; });
+    const auto first =
+        std::find_if(log_.begin(), log_.end(), [&](const TargetChange &change) { return change.revision > after; });
     update.changes.insert(update.changes.end(), first, log_.end());
     return update;
 }
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -1,7 +1,7 @@
 // Takes the place of the callers and of the fabric: each datagram goes to a daemon chosen at random.
 #include "scenario.h"
 
-#include "host/eventloop.h"
+#include "base/eventloop.h"
 #include "link/answerassembler.h"
 #include "link/datagramsocket.h"
 #include "poplarroad/visitor.h"
--- a/standins/platformserver.h
+++ b/standins/platformserver.h
@@ -1,7 +1,7 @@
 #ifndef POPLARROAD_STANDINS_PLATFORMSERVER_H
 #define POPLARROAD_STANDINS_PLATFORMSERVER_H
 
-#include "host/eventloop.h"
+#include "base/eventloop.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -1,7 +1,7 @@
 // Takes the place of the targets: each port is one target with slots, feeds and a refusal when it is full or draining.
 #include "common.h"
 
-#include "host/eventloop.h"
+#include "base/eventloop.h"
 #include "link/framelink.h"
 #include "poplarroad/visitor.h"
 
--- a/tests/flowrouter_tests.cpp
+++ b/tests/flowrouter_tests.cpp
@@ -44,10 +44,10 @@
 {
     auto map = std::make_shared<ServiceMap>();
     map->version = version;
-    map->routes[route] = { route, { { stock, 1 } }, RequestKind::Idempotent, Urgency::Normal, Milliseconds(1200),
-                           Milliseconds(200) };
-    map->routes[bidRoute] = { bidRoute, { { stock, 1 } }, RequestKind::NonIdempotent, Urgency::High, Milliseconds(1500),
-                              Milliseconds(250) };
+    map->routes[route] = { route,           { { stock, 1 } },   RequestKind::Idempotent,
+                           Urgency::Normal, Milliseconds(1200), Milliseconds(200) };
+    map->routes[bidRoute] = { bidRoute,      { { stock, 1 } },   RequestKind::NonIdempotent,
+                              Urgency::High, Milliseconds(1500), Milliseconds(250) };
     return map;
 }
 
--- a/tests/platformadapter_tests.cpp
+++ b/tests/platformadapter_tests.cpp
@@ -186,7 +186,8 @@
         CHECK(decodeList(DirectoryPart::Targets, body).answer.error == StoreError::Malformed);
         CHECK(decodeEvents(DirectoryPart::Targets, body).error == StoreError::Malformed);
     }
-    CHECK(decodeList(DirectoryPart::Services, R"({"items":[{"meta":{"name":"main"},"spec":{"version":"x"}}],"currentRev":1})")
+    CHECK(decodeList(DirectoryPart::Services,
+                     R"({"items":[{"meta":{"name":"main"},"spec":{"version":"x"}}],"currentRev":1})")
               .answer.error
           == StoreError::Malformed);
 }
--- a/tests/wirefleet_tests.cpp
+++ b/tests/wirefleet_tests.cpp
@@ -72,12 +72,11 @@
 
 TEST_CASE("content keeps every route and target")
 {
-    const DirectoryContent content{ manyRoutes(300),
-                                    Revision{ 50 },
-                                    { Revision{ 60 },
-                                      true,
-                                      { target(1, Listing::Present), target(2, Listing::Lapsed),
-                                        target(3, Listing::Gone) } } };
+    const DirectoryContent content{
+        manyRoutes(300),
+        Revision{ 50 },
+        { Revision{ 60 }, true, { target(1, Listing::Present), target(2, Listing::Lapsed), target(3, Listing::Gone) } }
+    };
     const auto arrived = std::get<DirectoryContent>(roundTrip(content));
     REQUIRE(arrived.services);
     CHECK(*arrived.services == *content.services);
@@ -113,7 +112,9 @@
 TEST_CASE("damaged fleet messages are refused or read, never more")
 {
     rc::check("one byte changed", [](std::uint16_t position, std::uint8_t value) {
-        const DirectoryContent content{ manyRoutes(5), Revision{ 1 }, { Revision{ 2 }, true, { target(1, Listing::Present) } } };
+        const DirectoryContent content{ manyRoutes(5),
+                                        Revision{ 1 },
+                                        { Revision{ 2 }, true, { target(1, Listing::Present) } } };
         std::string bytes = encodeFleetMessage(content);
         bytes[position % bytes.size()] = static_cast<char>(value);
         WireCodec reader = codec();
