--- a/src/link/wirefleet.cpp
+++ b/src/link/wirefleet.cpp
@@ -21,7 +21,8 @@
 RouteGroups groupsOf(const ServiceMap &services)
 {
     RouteGroups groups;
-    for (const auto &[address, route] : services.routes) {
+    for (const auto &entry : services.routes) {
+        const ServiceRoute &route = entry.second;
         const auto known = std::find_if(groups.begin(), groups.end(),
                                         [&](const auto &group) { return sameButAddress(*group.front(), route); });
         if (known == groups.end()) {
