Try silent targets again, summarize traffic, take the seeds of a reload

Cause: a target that was frozen for less than its entry's life lost its flows and got no new ones: nothing could show that it answers again. Change: one flow that is not urgent goes there every 2 s. A line every 5 s tells each balancer's packets, flows, drops and resets; SIGHUP reads the settings again and takes their seeds.

--- a/src/host/eventlog.h
+++ b/src/host/eventlog.h
@@ -31,7 +31,7 @@
     FlowPlaced,
     FlowReset,
     PacketDropped,
-    TrafficSummary, ///< counts of a second
+    TrafficSummary, ///< counts of a period
     LinesDropped, ///< lines that the budget or the reader of the log did not take
 };
 
--- a/src/host/packethost.cpp
+++ b/src/host/packethost.cpp
@@ -82,9 +82,11 @@
     stop();
 }
 
-void PacketHost::reload()
+void PacketHost::reload(const Settings &settings)
 {
-    log_.write(LogEvent::Reload, std::chrono::steady_clock::now(), {});
+    log_.write(LogEvent::Reload, std::chrono::steady_clock::now(),
+               { { "seeds", static_cast<std::int64_t>(settings.seeds.size()) } });
+    peers_.post(PlatformHosts{ settings.seeds, {} });
 }
 
 void PacketHost::stop()
--- a/src/host/packethost.h
+++ b/src/host/packethost.h
@@ -28,8 +28,8 @@
     bool start();
     /** Stops gracefully: out of rotation, then packets go on until the routers use other balancers. */
     void leave();
-    /** Tells the log that the settings are to be read again. */
-    void reload();
+    /** Takes the seeds of settings that were read again; addresses are fixed for the life of the process. */
+    void reload(const Settings &settings);
 
 private:
     void stop();
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds reportPeriod{ 150 };
 /** Balancers that get each report; bounds the bytes in a large zone. */
 constexpr std::size_t reportReceivers = 4;
+/** A line for each period shows an engineer which balancer had the traffic. */
+constexpr std::chrono::seconds summaryPeriod{ 5 };
 /** One of this many flows has its placement logged. */
 constexpr std::uint64_t placementSample = 16;
 
@@ -166,9 +168,25 @@
     for (const ResetFlow &flow : resets) {
         reset(flow);
     }
+    logSummary(now());
     timer_.armAt(router_.nextTimer());
 }
 
+void PacketTask::logSummary(TimePoint time)
+{
+    const std::uint64_t forwarded = counters_.value(Counter::PacketsForwarded);
+    if (time < nextSummary_ || forwarded == summarized_) {
+        return;
+    }
+    nextSummary_ = time + summaryPeriod;
+    log_.write(LogEvent::TrafficSummary, time,
+               { { "packets", static_cast<std::int64_t>(forwarded - summarized_) },
+                 { "flows", static_cast<std::int64_t>(router_.flows()) },
+                 { "dropped_total", static_cast<std::int64_t>(counters_.value(Counter::PacketsDropped)) },
+                 { "reset_total", static_cast<std::int64_t>(counters_.value(Counter::FlowsReset)) } });
+    summarized_ = forwarded;
+}
+
 void PacketTask::sendReport()
 {
     reportTimer_.armAfter(reportPeriod);
--- a/src/host/packettask.h
+++ b/src/host/packettask.h
@@ -51,6 +51,7 @@
     void logPlacement(const Packet &packet, const ForwardPacket &forward, TimePoint time);
     void logDrop(const Packet &packet, DropReason reason, TimePoint time);
     void logJudgements(TimePoint time);
+    void logSummary(TimePoint time);
 
     std::uint16_t callerPort_; ///< callers take packets at the port that this balancer takes theirs
     std::unique_ptr<PacketCodec> codec_;
@@ -63,6 +64,8 @@
     SeededRandom random_;
     std::shared_ptr<const FleetView> view_;
     LoopTimer reportTimer_;
+    TimePoint nextSummary_;
+    std::uint64_t summarized_ = 0; ///< packets forwarded up to the last summary
     DatagramSocket socket_;
     LoopTimer timer_;
     Mailbox<PacketTaskMessage> mailbox_;
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -259,6 +259,9 @@
     double bestCost = std::numeric_limits<double>::infinity();
     std::uint32_t equals = 0;
     const std::vector<TargetIndex> &candidates = targets_.ofService(serviceOf(route, packet));
+    if (const auto trial = chooseTrial(route, candidates, avoid, now)) {
+        return trial;
+    }
     const double part = busyPart(candidates);
     for (const TargetIndex index : candidates) {
         const TargetEntry &target = targets_.at(index);
@@ -282,6 +285,25 @@
     return best;
 }
 
+std::optional<TargetIndex> FlowRouter::chooseTrial(const ServiceRoute &route,
+                                                   const std::vector<TargetIndex> &candidates,
+                                                   std::optional<TargetIndex> avoid, TimePoint now)
+{
+    // A trial may cost its caller the time until the first copy; the most urgent kinds are spared.
+    if (avoid || route.urgency > Urgency::Normal) {
+        return std::nullopt;
+    }
+    for (const TargetIndex index : candidates) {
+        TargetEntry &target = targets_.at(index);
+        const bool doubtful = target.evidence.belief() != TargetBelief::Answering;
+        if (doubtful && target.listed.target.state == TargetState::Active && target.listed.target.zone == zone_
+            && target.evidence.takeTrial(now)) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
 double FlowRouter::busyPart(const std::vector<TargetIndex> &targets) const
 {
     double busy = 0.0;
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -148,6 +148,13 @@
     /** @return the target for a new flow, or nothing when none takes one */
     std::optional<TargetIndex> choose(const ServiceRoute &route, const Packet &packet, std::optional<TargetIndex> avoid,
                                       TimePoint now);
+    /**
+     * A target that was found silent gets a single flow from time to time, which shows whether it answers again.
+     *
+     * @return such a target of the own zone whose trial is due, or nothing
+     */
+    std::optional<TargetIndex> chooseTrial(const ServiceRoute &route, const std::vector<TargetIndex> &candidates,
+                                           std::optional<TargetIndex> avoid, TimePoint now);
     /** @return the part of their time that the flows of these targets wait for answers */
     double busyPart(const std::vector<TargetIndex> &targets) const;
     /** @return the requests that wait at a target for each of its slots, those that run included */
--- a/src/target/targetevidence.cpp
+++ b/src/target/targetevidence.cpp
@@ -58,6 +58,8 @@
     const auto waited = now - oldest->waitingSince;
     const std::uint32_t repeating = static_cast<std::uint32_t>(repeats_.size()) + repeatingElsewhere(now);
     if (repeating >= FlowsToSilence && waited >= SilentAfter) {
+        // The first trial is due a period after the last packet that got no answer.
+        lastTrial_ = now;
         become(TargetBelief::Silent, now);
     } else if (belief_ == TargetBelief::Answering && repeating >= FlowsToSuspect && waited >= SuspectAfter) {
         become(TargetBelief::Suspected, now);
--- a/tests/flowrouter_tests.cpp
+++ b/tests/flowrouter_tests.cpp
@@ -231,6 +231,36 @@
     CHECK(router.targets().at(*router.targets().find(TargetId{ 1 })).evidence.belief() == TargetBelief::Silent);
 }
 
+TEST_CASE("a target that was only frozen gets flows again, found by one trial at a time")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller first(router, 1000);
+    Caller second(router, 1001);
+    for (Caller *caller : { &first, &second }) {
+        caller->open(at(0));
+        caller->request(at(5));
+    }
+    for (const int time : { 205, 605 }) {
+        first.repeat(at(time));
+        second.repeat(at(time));
+    }
+    REQUIRE(router.targets().at(*router.targets().find(TargetId{ 1 })).evidence.belief() == TargetBelief::Silent);
+    router.setTargets({ listed(2) }, false, at(610));
+    std::uint16_t port = 2000;
+    const auto opened = [&](int time) {
+        Caller caller(router, port++);
+        return targetOf(caller.open(at(time)));
+    };
+    CHECK(opened(700) == TargetId{ 2 });
+    CHECK(opened(2700) == TargetId{ 1 });
+    CHECK(opened(2710) == TargetId{ 2 });
+    Caller trial(router, 3000);
+    REQUIRE(targetOf(trial.open(at(5000))) == TargetId{ 1 });
+    trial.request(at(5003));
+    CHECK(router.targets().at(*router.targets().find(TargetId{ 1 })).evidence.belief() == TargetBelief::Answering);
+    CHECK(opened(5010) == TargetId{ 1 });
+}
+
 TEST_CASE("a slow answer of one flow resets no flow while others make progress at the target")
 {
     FlowRouter router = routerWith({ listed(1) });
