--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -265,7 +265,7 @@
     const double part = busyPart(candidates);
     for (const TargetIndex index : candidates) {
         const TargetEntry &target = targets_.at(index);
-        if (target.listed.target.state != TargetState::Active || index == avoid) {
+        if (target.listed.target.state != TargetState::Active || index == avoid || !ownsTag(index)) {
             continue;
         }
         double cost = costOf(target, part, now);
@@ -297,13 +297,18 @@
         TargetEntry &target = targets_.at(index);
         const bool doubtful = target.evidence.belief() != TargetBelief::Answering;
         if (doubtful && target.listed.target.state == TargetState::Active && target.listed.target.zone == zone_
-            && target.evidence.takeTrial(now)) {
+            && ownsTag(index) && target.evidence.takeTrial(now)) {
             return index;
         }
     }
     return std::nullopt;
 }
 
+bool FlowRouter::ownsTag(TargetIndex index) const
+{
+    return targets_.find(targets_.at(index).tag) == index;
+}
+
 double FlowRouter::busyPart(const std::vector<TargetIndex> &targets) const
 {
     double busy = 0.0;
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -155,6 +155,8 @@
      */
     std::optional<TargetIndex> chooseTrial(const ServiceRoute &route, const std::vector<TargetIndex> &candidates,
                                            std::optional<TargetIndex> avoid, TimePoint now);
+    /** @return whether packets with the target's tag go to it: of two targets that share a tag one gets no flows */
+    bool ownsTag(TargetIndex index) const;
     /** @return the part of their time that the flows of these targets wait for answers */
     double busyPart(const std::vector<TargetIndex> &targets) const;
     /** @return the requests that wait at a target for each of its slots, those that run included */
--- a/tests/flowrouter_tests.cpp
+++ b/tests/flowrouter_tests.cpp
@@ -309,6 +309,19 @@
     CHECK(std::get<DropPacket>(router.onPacket(forged, at(0))).reason == DropReason::UnknownTag);
 }
 
+TEST_CASE("of two targets that share a tag one gets all flows, so that every packet finds its target")
+{
+    // Folded to 32 bits, both numbers are 7.
+    FlowRouter router = routerWith({ listed(7) });
+    router.setTargets({ listed((std::uint64_t{ 1 } << 32U) | 6U) }, false, at(10));
+    for (std::uint16_t port = 0; port < 20; ++port) {
+        Caller caller(router, port);
+        CHECK(targetOf(caller.open(at(20))) == TargetId{ 7 });
+        CHECK(targetOf(caller.request(at(25))) == TargetId{ 7 });
+        caller.acknowledge(at(30));
+    }
+}
+
 TEST_CASE("a change of the routes leaves an open flow where it is")
 {
     FlowRouter router = routerWith({ listed(1) });
