--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -146,6 +146,8 @@
         flow = &flows_.add(packet.flow, *target, route.kind, now);
         flow->sent = packet.sequence;
         flow->acknowledged = packet.acknowledged;
+        // Opened through another balancer: that its packets come here shows nothing of its target.
+        flow->open = true;
     }
     observe(*flow, packet, now);
     if (silent && targets_.at(*target).evidence.belief() == TargetBelief::Silent && mayReset(*flow)) {
--- a/tests/flowrouter_tests.cpp
+++ b/tests/flowrouter_tests.cpp
@@ -265,6 +265,27 @@
     CHECK(atReturned > 1);
 }
 
+TEST_CASE("a flow that comes from another balancer shows no progress of its target")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    std::vector<Packet> flows;
+    for (std::uint16_t port = 1000; port < 1003; ++port) {
+        Packet packet;
+        packet.flow = flowOf(port);
+        packet.tag = packetTagOf(TargetId{ 1 });
+        packet.sequence = 100;
+        packet.acknowledged = 5000;
+        packet.length = 300;
+        flows.push_back(packet);
+    }
+    for (const int time : { 0, 200, 600 }) {
+        router.onPacket(flows[0], at(time));
+        router.onPacket(flows[1], at(time));
+    }
+    router.onPacket(flows[2], at(610));
+    CHECK(router.targets().at(*router.targets().find(TargetId{ 1 })).evidence.belief() == TargetBelief::Silent);
+}
+
 TEST_CASE("a slow answer of one flow resets no flow while others make progress at the target")
 {
     FlowRouter router = routerWith({ listed(1) });
