Count only flows that repeated themselves twice as stuck

By the code, a lost packet of one flow and one of another up to a second later were enough, if the first flow ended meanwhile: two flows that repeated themselves, the older one 550 ms ago. Change: a flow counts from its second repeat on (600 ms), both here and in what others report, and no more once it has ended. Tests fail before the change; the test of two flows now asks for the second repeat of both, which is stricter.

--- a/include/poplarroad/fleetmessages.h
+++ b/include/poplarroad/fleetmessages.h
@@ -66,7 +66,7 @@
     TargetId target;
     std::uint16_t flows = 0;
     std::uint16_t busy = 0; ///< flows that wait for an answer
-    std::uint16_t repeating = 0; ///< flows that sent again since the last progress
+    std::uint16_t stuck = 0; ///< flows that sent again more than once since the last progress
     std::uint32_t sinceProgressMs = 0;
 
     friend bool operator==(const TargetLoad &, const TargetLoad &) = default;
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -277,6 +277,6 @@
   target @0 :UInt64;
   flows @1 :UInt16;
   busy @2 :UInt16;
-  repeating @3 :UInt16;
+  stuck @3 :UInt16;
   sinceProgressMs @4 :UInt32;
 }
--- a/src/link/wirefleet.cpp
+++ b/src/link/wirefleet.cpp
@@ -182,7 +182,7 @@
         loads[i].setTarget(load.target.value);
         loads[i].setFlows(load.flows);
         loads[i].setBusy(load.busy);
-        loads[i].setRepeating(load.repeating);
+        loads[i].setStuck(load.stuck);
         loads[i].setSinceProgressMs(load.sinceProgressMs);
     }
 }
@@ -191,7 +191,7 @@
 {
     LoadReport report;
     for (const auto load : envelope.getLoadReport()) {
-        report.loads.push_back({ TargetId{ load.getTarget() }, load.getFlows(), load.getBusy(), load.getRepeating(),
+        report.loads.push_back({ TargetId{ load.getTarget() }, load.getFlows(), load.getBusy(), load.getStuck(),
                                  load.getSinceProgressMs() });
     }
     return report;
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -139,6 +139,7 @@
     }
     PacketFlow *flow = flows_.find(packet.flow);
     if (packet.finishes || packet.resets) {
+        targets_.at(*target).evidence.onFlowEnded(packet.flow.hash());
         flows_.remove(packet.flow);
         return forward(*target);
     }
@@ -214,11 +215,11 @@
     LoadReport report;
     for (const auto &[id, index] : targets_.byId()) {
         const TargetEntry &target = targets_.at(index);
-        if (target.flows == 0 && target.evidence.repeating(now) == 0) {
+        if (target.flows == 0 && target.evidence.stuck(now) == 0) {
             continue;
         }
         report.loads.push_back({ id, static_cast<std::uint16_t>(target.flows), static_cast<std::uint16_t>(target.busy),
-                                 static_cast<std::uint16_t>(target.evidence.repeating(now)),
+                                 static_cast<std::uint16_t>(target.evidence.stuck(now)),
                                  target.evidence.sinceProgressMs(now) });
     }
     return report;
@@ -231,7 +232,7 @@
         if (const auto index = targets_.find(load.target)) {
             TargetEvidence &evidence = targets_.at(*index).evidence;
             const TargetBelief before = evidence.belief();
-            evidence.onPeerReport(peer.key(), load.repeating, Milliseconds(load.sinceProgressMs), now);
+            evidence.onPeerReport(peer.key(), load.stuck, Milliseconds(load.sinceProgressMs), now);
             noteBelief(*index, before, now);
         }
     }
--- a/src/target/targetevidence.cpp
+++ b/src/target/targetevidence.cpp
@@ -46,6 +46,18 @@
         repeats_.begin(), repeats_.end(), [&](const Repeat &repeat) { return now - repeat.at <= RepeatAge; }));
 }
 
+std::uint32_t TargetEvidence::stuck(TimePoint now) const
+{
+    return static_cast<std::uint32_t>(std::count_if(repeats_.begin(), repeats_.end(), [&](const Repeat &repeat) {
+        return now - repeat.at <= RepeatAge && repeat.at - repeat.waitingSince >= StuckAfter;
+    }));
+}
+
+void TargetEvidence::onFlowEnded(std::uint64_t flow)
+{
+    std::erase_if(repeats_, [&](const Repeat &repeat) { return repeat.flow == flow; });
+}
+
 void TargetEvidence::judge(TimePoint now)
 {
     forgetRepeats(now);
@@ -55,26 +67,26 @@
     const auto oldest = std::min_element(repeats_.begin(), repeats_.end(), [](const Repeat &a, const Repeat &b) {
         return a.waitingSince < b.waitingSince;
     });
-    const auto waited = now - oldest->waitingSince;
-    const std::uint32_t repeating = static_cast<std::uint32_t>(repeats_.size()) + repeatingElsewhere(now);
-    if (repeating >= FlowsToSilence && waited >= SilentAfter) {
+    const std::uint32_t stuckHere = stuck(now);
+    const std::uint32_t elsewhere = stuckElsewhere(now);
+    if (stuckHere > 0 && stuckHere + elsewhere >= FlowsToSilence) {
         // The first trial is due a period after the last packet that got no answer.
         lastTrial_ = now;
         become(TargetBelief::Silent, now);
-    } else if (belief_ == TargetBelief::Answering && repeating >= FlowsToSuspect && waited >= SuspectAfter) {
+    } else if (belief_ == TargetBelief::Answering && repeats_.size() + elsewhere >= FlowsToSuspect
+               && now - oldest->waitingSince >= SuspectAfter) {
         become(TargetBelief::Suspected, now);
         lastTrial_ = now;
     }
 }
 
-void TargetEvidence::onPeerReport(std::uint64_t peer, std::uint32_t repeating, Milliseconds sinceProgress,
-                                  TimePoint now)
+void TargetEvidence::onPeerReport(std::uint64_t peer, std::uint32_t stuck, Milliseconds sinceProgress, TimePoint now)
 {
     auto known = std::find_if(peers_.begin(), peers_.end(), [&](const PeerView &view) { return view.peer == peer; });
     if (known == peers_.end()) {
         known = peers_.insert(peers_.end(), PeerView{ peer, 0, now });
     }
-    known->repeating = repeating;
+    known->stuck = stuck;
     known->at = now;
     const TimePoint progress = now - sinceProgress;
     if (progress > lastProgress_) {
@@ -87,11 +99,11 @@
     judge(now);
 }
 
-std::uint32_t TargetEvidence::repeatingElsewhere(TimePoint now) const
+std::uint32_t TargetEvidence::stuckElsewhere(TimePoint now) const
 {
     std::uint32_t sum = 0;
     for (const PeerView &view : peers_) {
-        sum += now - view.at < PeerViewAge ? view.repeating : 0;
+        sum += now - view.at < PeerViewAge ? view.stuck : 0;
     }
     return sum;
 }
--- a/src/target/targetevidence.h
+++ b/src/target/targetevidence.h
@@ -31,17 +31,19 @@
  * Judges from the callers' packets whether a target still answers.
  *
  * Answers go from the target to the caller directly. A caller that gets none sends its packet again after 200 ms and again
- * after 400 ms more; an acknowledgement that advances shows that the target answered.
+ * after 400 ms more; an acknowledgement that advances shows that the target answered. A packet that was lost makes its flow
+ * repeat itself once. Only flows that have repeated themselves again since count against a target.
  */
 class TargetEvidence
 {
 public:
     /** Several flows that repeat themselves within this time without any progress make a target suspected. */
     static constexpr Milliseconds SuspectAfter{ 150 };
-    /** A request that runs at most 240 ms behind a full queue is answered in less than this. */
-    static constexpr Milliseconds SilentAfter{ 550 };
+    /** A flow is stuck from its second repeat on, which comes after 600 ms; a late timer must not miss it. */
+    static constexpr Milliseconds StuckAfter{ 550 };
     /** Flows that have to repeat themselves: one alone can be a lost packet or a long request. */
     static constexpr std::uint32_t FlowsToSuspect = 2;
+    /** Flows that have to be stuck. */
     static constexpr std::uint32_t FlowsToSilence = 2;
     /**
      * A repeat is forgotten after this: the caller's next one would have come within 800 ms, unless its flow has ended or
@@ -62,13 +64,17 @@
      * @param waitingSince when the caller sent the packet first
      */
     void onRepeat(std::uint64_t flow, TimePoint waitingSince, TimePoint now);
+    /** A flow has ended at its caller; what it repeated says nothing any more. */
+    void onFlowEnded(std::uint64_t flow);
     /**
-     * Takes what another balancer sees: its repeating flows count like those here, and its progress too.
+     * Takes what another balancer sees: its stuck flows count like those here, and its progress too.
      *
      * @param peer any number that identifies the balancer
      * @param sinceProgress time since it saw progress, before the report was sent
      */
-    void onPeerReport(std::uint64_t peer, std::uint32_t repeating, Milliseconds sinceProgress, TimePoint now);
+    void onPeerReport(std::uint64_t peer, std::uint32_t stuck, Milliseconds sinceProgress, TimePoint now);
+    /** @return flows that repeated themselves here more than once since the last progress, and not long ago */
+    std::uint32_t stuck(TimePoint now) const;
     /** @return flows that sent again here since the last progress, and not long ago */
     std::uint32_t repeating(TimePoint now) const;
     std::uint32_t sinceProgressMs(TimePoint now) const;
@@ -94,7 +100,7 @@
     struct PeerView
     {
         std::uint64_t peer = 0;
-        std::uint32_t repeating = 0;
+        std::uint32_t stuck = 0;
         TimePoint at;
     };
 
@@ -102,7 +108,7 @@
     static constexpr Milliseconds PeerViewAge{ 500 };
 
     void become(TargetBelief belief, TimePoint now);
-    std::uint32_t repeatingElsewhere(TimePoint now) const;
+    std::uint32_t stuckElsewhere(TimePoint now) const;
     void forgetRepeats(TimePoint now);
     void judge(TimePoint now);
 
--- a/tests/flowrouter_tests.cpp
+++ b/tests/flowrouter_tests.cpp
@@ -259,10 +259,13 @@
     trial.request(at(5003));
     CHECK(router.targets().at(*router.targets().find(TargetId{ 1 })).evidence.belief() == TargetBelief::Answering);
     int atReturned = 0;
-    for (int time = 5010; time < 5020; ++time) {
-        atReturned += opened(time) == TargetId{ 1 } ? 1 : 0;
+    for (int time = 5010; time < 5030; ++time) {
+        Caller caller(router, port++);
+        atReturned += targetOf(caller.open(at(time))) == TargetId{ 1 } ? 1 : 0;
+        caller.request(at(time));
+        caller.acknowledge(at(time));
     }
-    CHECK(atReturned > 1);
+    CHECK(atReturned > 5);
 }
 
 TEST_CASE("a flow that comes from another balancer shows no progress of its target")
--- a/tests/targetevidence_tests.cpp
+++ b/tests/targetevidence_tests.cpp
@@ -31,9 +31,32 @@
     evidence.onRepeat(2, at(20), at(220));
     CHECK(evidence.belief() == TargetBelief::Suspected);
     evidence.onRepeat(1, at(0), at(600));
+    CHECK(evidence.belief() == TargetBelief::Suspected);
+    evidence.onRepeat(2, at(20), at(620));
     CHECK(evidence.belief() == TargetBelief::Silent);
 }
 
+TEST_CASE("two packets that were lost do not make a live target silent, whenever they were sent")
+{
+    for (int second = 0; second < 1000; second += 10) {
+        TargetEvidence evidence = answeringTarget();
+        evidence.onRepeat(1, at(0), at(200));
+        evidence.onRepeat(2, at(second), at(second + 200));
+        CHECK(evidence.belief() != TargetBelief::Silent);
+    }
+}
+
+TEST_CASE("a flow that ended does not count against its target")
+{
+    TargetEvidence evidence = answeringTarget();
+    evidence.onRepeat(1, at(0), at(200));
+    evidence.onRepeat(1, at(0), at(600));
+    evidence.onFlowEnded(1);
+    evidence.onRepeat(2, at(100), at(300));
+    evidence.onRepeat(2, at(100), at(700));
+    CHECK(evidence.belief() != TargetBelief::Silent);
+}
+
 TEST_CASE("a single flow that repeats itself does not make a target silent: its packets alone may be lost")
 {
     TargetEvidence evidence = answeringTarget();
