--- a/src/link/directorysource.h
+++ b/src/link/directorysource.h
@@ -22,12 +22,6 @@
     std::uint32_t refusedEntries = 0; ///< entries that name no usable target
 };
 
-/** How fresh a read has to be. */
-enum class ReadConsistency : std::uint8_t {
-    Linearizable,
-    Stale, ///< may be seconds old; costs the store less
-};
-
 /** Where services and targets are published, an interface so that tests can replace the platform. */
 class DirectorySource
 {
@@ -36,7 +30,7 @@
 
     virtual ~DirectorySource() = default;
     /** Reads one part whole. The callback is called later, exactly once, in the thread of the owner. */
-    virtual void read(DirectoryPart part, ReadConsistency consistency, Callback callback) = 0;
+    virtual void read(DirectoryPart part, Callback callback) = 0;
     /**
      * Waits for changes of one part.
      *
--- a/src/service/directoryfeed.h
+++ b/src/service/directoryfeed.h
@@ -14,7 +14,6 @@
 /** Read the whole part. */
 struct ReadPart
 {
-    ReadConsistency consistency = ReadConsistency::Linearizable;
 };
 
 /** Wait for changes. */
