Count refused entries of the store, and list receivers in one place

The adapter counted entries of other writers that name no usable target, but nothing read the count: it is the counter target_entries_refused now. Members of the zone and gateways were joined in three places; membersAndGateways() does it.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -44,6 +44,7 @@
     FlowsReset,
     StoreCalls,
     StoreFailures,
+    TargetEntriesRefused,
 };
 
 template<>
@@ -80,6 +81,7 @@
         EnumName<Counter>{ Counter::FlowsReset, "flows_reset" },
         EnumName<Counter>{ Counter::StoreCalls, "store_calls" },
         EnumName<Counter>{ Counter::StoreFailures, "store_failures" },
+        EnumName<Counter>{ Counter::TargetEntriesRefused, "target_entries_refused" },
     };
 };
 
--- a/src/host/directorypeers.cpp
+++ b/src/host/directorypeers.cpp
@@ -109,9 +109,7 @@
 void DirectoryTask::sendBeacon(TimePoint time)
 {
     if (const auto beacon = share_.beacon(state(), time)) {
-        std::vector<HostAddress> hosts = zoneMembers();
-        const std::vector<HostAddress> others = gateways();
-        hosts.insert(hosts.end(), others.begin(), others.end());
+        std::vector<HostAddress> hosts = membersAndGateways();
         // Without contact every balancer sends beacons, each to a few.
         if (Milliseconds(beacon->contactAgeMs) >= DirectoryShare::FreshContact) {
             random_.shuffle(hosts);
@@ -138,11 +136,9 @@
     } else {
         nextAsk_ = time + DirectoryShare::RequestTimeout;
     }
-    std::vector<HostAddress> hosts = zoneMembers();
-    for (const auto &more : { gateways(), seeds_ }) {
-        std::copy_if(more.begin(), more.end(), std::back_inserter(hosts),
-                     [&](const HostAddress &host) { return host != self_; });
-    }
+    std::vector<HostAddress> hosts = membersAndGateways();
+    std::copy_if(seeds_.begin(), seeds_.end(), std::back_inserter(hosts),
+                 [&](const HostAddress &host) { return host != self_; });
     hosts.resize(std::min(hosts.size(), fewPeers));
     const DirectoryState known = state();
     receivers_.toPeers({ std::move(hosts), DirectoryRequest{ known.serviceVersion, known.targets } });
@@ -213,4 +209,12 @@
     return hosts;
 }
 
+std::vector<HostAddress> DirectoryTask::membersAndGateways() const
+{
+    std::vector<HostAddress> hosts = zoneMembers();
+    const std::vector<HostAddress> others = gateways();
+    hosts.insert(hosts.end(), others.begin(), others.end());
+    return hosts;
+}
+
 } // namespace poplarroad
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -128,6 +128,7 @@
 void DirectoryTask::onAnswer(DirectoryPart part, std::uint64_t number, DirectoryAnswer answer)
 {
     noteStore(part, answer.error);
+    counters_.add(Counter::TargetEntriesRefused, answer.refusedEntries);
     if (feed(part).onAnswer(number, answer, now())) {
         const std::uint64_t version = services_ ? services_->version : 0;
         const Revision before = targets_.revision();
@@ -136,10 +137,7 @@
             news = takeTargets({ answer.revision, answer.complete, std::move(answer.targets) }) || news;
         }
         if (news && following_ && version != 0 && before.value != 0) {
-            std::vector<HostAddress> hosts = zoneMembers();
-            const std::vector<HostAddress> others = gateways();
-            hosts.insert(hosts.end(), others.begin(), others.end());
-            sendContent(hosts, version, before);
+            sendContent(membersAndGateways(), version, before);
         }
     }
     advance();
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -80,6 +80,8 @@
     void introduce(const FleetMessageReceived &received);
     std::vector<HostAddress> zoneMembers() const;
     std::vector<HostAddress> gateways() const;
+    /** @return the other balancers of the zone, then the gateways of the other zones */
+    std::vector<HostAddress> membersAndGateways() const;
     void publish(const TargetUpdate &news);
     void checkReady();
     void onPaused();
