Follow the newest token of a flow after a takeover that this balancer missed

The balancer that had the pool before, with an older view and configuration, got the next request, took the token for that of a late duplicate because the flow had been in use within 2 s, and ran the request at the earlier target. Change: a request whose sequence number is above all that the flow has had cannot be a late duplicate, so its token decides. An older one no longer does, also while the flow is not confirmed.

--- a/src/service/dispatchercallers.cpp
+++ b/src/service/dispatchercallers.cpp
@@ -104,7 +104,7 @@
     }
     flow->established = 1;
     flow->bound = 1;
-    keepTokenTarget(*flow, message.token);
+    keepTokenTarget(*flow, message.token, message.id.sequence);
     admit(record(std::move(message), contract, flow, path));
 }
 
@@ -118,7 +118,7 @@
     NotRunMessage reply = notRun(message, mayMint() ? NotRunReason::TokenRequired : NotRunReason::Moved);
     flow = flow != nullptr ? flow : flows.findOrInsert(message.id.flow, now);
     if (flow != nullptr) {
-        keepTokenTarget(*flow, message.token);
+        keepTokenTarget(*flow, message.token, message.id.sequence);
         reply.token = mint(message.id.flow);
     }
     send(path, reply);
@@ -144,7 +144,7 @@
     }
     const bool returning = message.token || !flow->window.empty();
     flow->established = flow->established || returning ? 1 : 0;
-    keepTokenTarget(*flow, message.token);
+    keepTokenTarget(*flow, message.token, message.id.sequence);
     admit(record(std::move(message), contract, flow, path));
 }
 
@@ -207,15 +207,17 @@
     place(feed);
 }
 
-void Dispatcher::Impl::keepTokenTarget(Flow &flow, const std::optional<FlowToken> &token)
+void Dispatcher::Impl::keepTokenTarget(Flow &flow, const std::optional<FlowToken> &token, std::uint64_t sequence)
 {
     if (!token) {
         return;
     }
     // The flow may have been placed here by a duplicate of its first packet, or may have moved while another balancer
-    // dispatched the pool; a late duplicate with an older token arrives while the flow is in use here.
+    // dispatched the pool. A late duplicate with an older token arrives while the flow is in use here, and its sequence
+    // number is one that the flow has had.
     const bool foreign = isForeign(*token) || token->incarnation != view->incarnation;
-    const bool follows = foreign && (flow.confirmed == 0 || flows.idleFor(flow, now) >= lateDuplicate);
+    const bool fromNow = sequence == 0 ? flow.confirmed == 0 : flow.window.isNewest(sequence);
+    const bool follows = foreign && (fromNow || flows.idleFor(flow, now) >= lateDuplicate);
     if ((follows || !targetOf(flow)) && targets.canAnswer(token->target)) {
         setTarget(flow, token->target);
     }
@@ -277,7 +279,7 @@
     }
     if (Flow *flow = flows.findOrInsert(message.flow, now)) {
         flow->established = flow->established || (message.token && message.token->flow == message.flow) ? 1 : 0;
-        keepTokenTarget(*flow, message.token);
+        keepTokenTarget(*flow, message.token, 0);
     }
     const auto token = mint(message.flow);
     if (token && token->binds()) {
--- a/src/service/dispatcherimpl.h
+++ b/src/service/dispatcherimpl.h
@@ -86,7 +86,8 @@
     bool isForeign(const FlowToken &token) const;
     void onDuplicate(const FinalRecord &ended, const RequestMessage &message, const ReturnPath &path);
     void onDuplicate(RequestRecord &record, const RequestMessage &message, const ReturnPath &path);
-    void keepTokenTarget(Flow &flow, const std::optional<FlowToken> &token);
+    /** @param sequence of the request that carries the token; 0 for a renewal */
+    void keepTokenTarget(Flow &flow, const std::optional<FlowToken> &token, std::uint64_t sequence);
     RequestRecord &record(RequestMessage message, const Contract &contract, Flow *flow, const ReturnPath &path);
     void cancel(RequestRecord &record);
 
--- a/src/service/flowtable.h
+++ b/src/service/flowtable.h
@@ -32,6 +32,11 @@
     {
         return seen_ == 0;
     }
+    /** @return whether the number is above all that were recorded */
+    bool isNewest(std::uint64_t sequence) const
+    {
+        return empty() || sequence > highest_;
+    }
     SequenceState stateOf(std::uint64_t sequence) const;
     /** Records a number that is not below the window. */
     void markSeen(std::uint64_t sequence);
--- a/tests/dispatcher_tests.cpp
+++ b/tests/dispatcher_tests.cpp
@@ -203,6 +203,41 @@
     }
 }
 
+TEST_CASE("a flow moves back to its earlier target because a balancer missed that another one had moved it")
+{
+    Single world(4);
+    FlowToken token = world.token();
+    RequestMessage request = requestOf(listKind, 1, 1);
+    request.token = token;
+    world.send(request);
+    const TargetId before = world.runs().back().target;
+    world.answer(world.runs().back());
+    TargetId elsewhere = before;
+    for (const auto &[id, target] : world.configuration.targets()) {
+        elsewhere = id != before ? id : elsewhere;
+    }
+    // Another balancer took the pool over, moved the flow and answered requests 2 and 3; this one learns it from the token.
+    token.dispatcher = HostAddress{ 1, 2 };
+    token.target = elsewhere;
+    world.now += milliseconds(100);
+    request = requestOf(listKind, 1, 4);
+    request.token = token;
+    world.send(request);
+    CHECK(world.runs().back().target == elsewhere);
+    world.answer(world.runs().back());
+
+    // A late copy of an older request has the token of that time, which says nothing new.
+    token.target = before;
+    request = requestOf(listKind, 1, 3);
+    request.token = token;
+    world.send(request);
+    world.answer(world.runs().back());
+    request = requestOf(listKind, 1, 5);
+    request.token = std::nullopt;
+    world.send(request);
+    CHECK(world.runs().back().target == elsewhere);
+}
+
 TEST_CASE("a host that has not joined its zone never dispatches as if it were alone")
 {
     const HostAddress self{ 1, 1 };
