End a renewal in its caller's time, whatever is repeated

A caller whose dispatcher was dead or stood still repeats every 250 ms and so never got a reply. Change: a repeat keeps the earlier deadline, and a renewal carries the time that its caller has left.

--- a/include/poplarroad/request.h
+++ b/include/poplarroad/request.h
@@ -145,6 +145,7 @@
     std::optional<FlowToken> token;
     bool tokenRejected = false;
     TraceContext trace;
+    Milliseconds remaining{ 0 }; ///< until the caller stops waiting; 0 means the router's default
 
     friend bool operator==(const RenewMessage &, const RenewMessage &) = default;
 };
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -80,6 +80,7 @@
   token @4 :Data;
   tokenRejected @5 :Bool;
   trace @6 :Trace;
+  remainingMs @7 :UInt32; # only of a renewal; 0 means the default
 }
 
 # Part `part` of `parts` of one answer; the payloads of the parts follow each other.
--- a/src/link/wirecaller.cpp
+++ b/src/link/wirecaller.cpp
@@ -175,6 +175,8 @@
                    [&](const RenewMessage &renew) {
                        auto to = envelope.initRenew();
                        writeTrace(to.initTrace(), renew.trace);
+                       to.setRemainingMs(
+                           static_cast<std::uint32_t>(std::max<std::int64_t>(renew.remaining.count(), 0)));
                        writeFlowCall(to, renew.flow, renew, token);
                    },
                    [&](const CloseMessage &close) { writeFlowCall(envelope.initClose(), close.flow, close, token); },
@@ -192,6 +194,7 @@
     case schema::Envelope::RENEW: {
         auto renew = readFlowCall<RenewMessage>(envelope.getRenew(), tokens);
         renew.trace = readTrace(envelope.getRenew().getTrace());
+        renew.remaining = Milliseconds(envelope.getRenew().getRemainingMs());
         return renew;
     }
     case schema::Envelope::CLOSE:
--- a/src/service/routerrequests.cpp
+++ b/src/service/routerrequests.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+/** Of a renewal whose caller names no remaining time: to notice a lost balancer and to ask another one. */
 constexpr Milliseconds RenewDeadline{ 1000 };
 
 bool isRequest(const CallerMessage &message)
@@ -34,8 +35,11 @@
 
 Milliseconds remainingOf(const CallerMessage &message)
 {
-    const auto *request = std::get_if<RequestMessage>(&message);
-    return request ? request->remaining : RenewDeadline;
+    if (const auto *request = std::get_if<RequestMessage>(&message)) {
+        return request->remaining;
+    }
+    const auto *renew = std::get_if<RenewMessage>(&message);
+    return renew && renew->remaining.count() > 0 ? std::min(renew->remaining, RenewDeadline) : RenewDeadline;
 }
 
 } // namespace
@@ -191,8 +195,13 @@
 {
     const PendingKey key = keyOf(incoming.message, incoming.path.endpoint);
     const auto *request = std::get_if<RequestMessage>(&incoming.message);
+    const Pending *earlier = pending.find(key);
     Pending entry;
     entry.deadline = now + remainingOf(incoming.message);
+    if (earlier && !request) {
+        // The repeats of a renewal must not put off the reply to the first one.
+        entry.deadline = std::min(entry.deadline, earlier->deadline);
+    }
     entry.due = entry.deadline + DeadlineGrace;
     const auto *there = std::get_if<RouteToHost>(&route);
     entry.host = there ? there->host : planner.view()->self;
@@ -201,7 +210,7 @@
     entry.bound = !terms.idempotent && terms.hasToken;
     entry.position = request ? request->resumeFrom : 0;
     // An earlier attempt may have reached another dispatcher, which keeps its own records.
-    entry.mayHaveRun = terms.idempotent && (pending.find(key) || (request && request->attempt > 0));
+    entry.mayHaveRun = terms.idempotent && (earlier || (request && request->attempt > 0));
     if (terms.idempotent) {
         entry.message = std::make_unique<CallerMessage>(incoming.message);
     }
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -159,6 +159,7 @@
             renew.flow = flow.id;
             renew.service = kind.service;
             renew.caller = flow.caller;
+            renew.remaining = std::chrono::ceil<Milliseconds>(work.due - now);
             spray(renew, flow.token);
             return;
         }
--- a/tests/router_tests.cpp
+++ b/tests/router_tests.cpp
@@ -162,6 +162,22 @@
     CHECK(std::get<RequestMessage>(forward ? forward->message : here->message).token == placement);
 }
 
+TEST_CASE("repeats of a renewal to a balancer that does not reply put off the outcome for ever")
+{
+    Ingress ingress;
+    const RenewMessage renew{ { 42 }, Lots, { 9 }, tokenOf(hostAt(0, 1)), false, {} };
+    RouteActions actions;
+    for (int repeat = 0; repeat < 8 && actions.empty(); ++repeat) {
+        ingress.send(renew);
+        ingress.now += Milliseconds(250);
+        ingress.router.onTimer(ingress.now, actions);
+    }
+    REQUIRE(actions.size() == 1);
+    const auto *reply = std::get_if<ReplyNow>(&actions[0]);
+    REQUIRE(reply);
+    CHECK(std::get<UnknownMessage>(reply->reply).reason == UnknownReason::DeadlinePassed);
+}
+
 TEST_CASE("differing views forward a renewal in a loop until it is refused")
 {
     Ingress ingress;
--- a/tests/wire_tests.cpp
+++ b/tests/wire_tests.cpp
@@ -62,7 +62,7 @@
     const RequestId id{ FlowId{ 11 }, 12 };
     const FlowId flow{ 11 };
     return { testRequest(), CancelMessage{ id, ServiceId{ 2 }, CallerId{ 3 }, testToken(), false },
-             RenewMessage{ flow, ServiceId{ 2 }, CallerId{ 3 }, std::nullopt, false, { 4, 5, 6 } },
+             RenewMessage{ flow, ServiceId{ 2 }, CallerId{ 3 }, std::nullopt, false, { 4, 5, 6 }, Milliseconds(700) },
              CloseMessage{ flow, ServiceId{ 2 }, CallerId{ 3 }, testToken(), false } };
 }
 
