Mend what the fleet runs count wrongly, and keep the seeds that failed

Causes, each from a trace: - 53006: the end of a run cut a pause short for the check, but what waited for the paused balancer was still handled after the whole pause. Pauses now end by themselves within the settling time. - 53263: two renewals of a flow have the same id, so the timer of the first one judged the second. The time of sending tells them apart. - 53094: the first request of a flow was shed and ran elsewhere, which was taken for the flow's home. Answers to requests that a target shed say nothing of the flow's target. - 61014: a packet that waited in the socket of a paused balancer counted as one that the balancer had while running. It counts from its arrival. Bounds are unchanged.

--- a/tests/fakefleet.cpp
+++ b/tests/fakefleet.cpp
@@ -253,7 +253,7 @@
     disturbing_ = false;
     cuts_.clear();
     for (auto &balancer : balancers_) {
-        balancer->pausedUntil = std::min(balancer->pausedUntil, time_.now());
+        // A pause ends by itself within the span; what waits for a paused process is handled when it continues.
         if (!balancer->running) {
             startBalancer(balancer->index);
         }
@@ -306,8 +306,9 @@
 void FakeFleet::deliverToBalancer(int index, std::uint64_t endpoint, const CallerMessage &message)
 {
     const std::uint64_t life = balancers_[static_cast<std::size_t>(index)]->life;
-    whenRunning(index, life, [this, endpoint, message](Balancer &balancer) {
-        noteArrival(endpoint, balancer);
+    const TimePoint arrivedAt = time_.now();
+    whenRunning(index, life, [this, endpoint, message, arrivedAt](Balancer &balancer) {
+        noteArrival(endpoint, balancer, arrivedAt);
         RouteActions actions;
         balancer.router->onCallerMessage(message, endpoint, time_.now(), actions);
         handle(balancer, std::move(actions));
@@ -418,6 +419,7 @@
         return;
     }
     if (target.running > target.declared.slots) {
+        ledger_->shed.insert(id);
         later(LocalDelay, TargetRefused{ run.target, id, TargetRefusal::Shed });
         return;
     }
--- a/tests/fakefleet.h
+++ b/tests/fakefleet.h
@@ -143,9 +143,10 @@
     void think(Caller &caller);
     void send(Caller &caller, const CallerMessage &message);
     void onReply(Caller &caller, const CallerReply &reply);
-    void noteArrival(std::uint64_t endpoint, const Balancer &balancer);
+    /** @param at when the packet reached the host, where it may have waited for a paused process */
+    void noteArrival(std::uint64_t endpoint, const Balancer &balancer, TimePoint at);
     void noteSilence(const Caller &caller);
-    void noteTarget(std::uint64_t flow, std::uint64_t target);
+    void noteTarget(const RequestId &id, std::uint64_t target);
     void violation(const std::string &text);
 
     std::uint64_t below(std::uint64_t bound);
--- a/tests/fakefleetevents.cpp
+++ b/tests/fakefleetevents.cpp
@@ -50,8 +50,13 @@
     }
     caller.attempts += 1;
     const RequestId id = caller.outstandingId;
-    time_.after(ResendAfter, [this, &caller, id] {
-        if (!caller.outstanding || caller.outstandingId != id) {
+    const TimePoint sentAt = caller.sentAt;
+    // All renewals of a flow have the same id; the time tells a later one apart.
+    const auto ended = [&caller, id, sentAt] {
+        return !caller.outstanding || caller.outstandingId != id || caller.sentAt != sentAt;
+    };
+    time_.after(ResendAfter, [this, &caller, ended] {
+        if (ended()) {
             return;
         }
         const auto waited = std::chrono::duration_cast<Microseconds>(time_.now() - caller.sentAt);
@@ -65,13 +70,15 @@
             if (auto *request = std::get_if<RequestMessage>(&*caller.outstanding)) {
                 request->attempt += 1;
                 request->remaining = std::chrono::duration_cast<Milliseconds>(RequestDeadline - waited);
+            } else if (auto *renew = std::get_if<RenewMessage>(&*caller.outstanding)) {
+                renew->remaining = std::chrono::duration_cast<Milliseconds>(RequestDeadline - waited);
             }
             const CallerMessage again = *caller.outstanding;
             send(caller, again);
             return;
         }
-        time_.after(ResendAfter, [this, &caller, id] {
-            if (caller.outstanding && caller.outstandingId == id) {
+        time_.after(ResendAfter, [this, &caller, ended] {
+            if (!ended()) {
                 noteSilence(caller);
                 caller.outstanding.reset();
                 think(caller);
@@ -95,11 +102,11 @@
     }
 }
 
-void FakeFleet::noteArrival(std::uint64_t endpoint, const Balancer &balancer)
+void FakeFleet::noteArrival(std::uint64_t endpoint, const Balancer &balancer, TimePoint at)
 {
     Caller &caller = *callers_.at(endpoint - 1);
     if (time_.now() < caller.sentAt + RequestDeadline) {
-        caller.arrivals.push_back({ balancer.index, balancer.life, time_.now() });
+        caller.arrivals.push_back({ balancer.index, balancer.life, at });
     }
 }
 
@@ -194,7 +201,7 @@
                        if (answer.payload.rfind(own, 0) != 0) {
                            violation("a caller got the answer to another request: " + answer.payload);
                        }
-                       noteTarget(answer.id.flow.value, targetIdOf(answer.payload.substr(own.size())).value);
+                       noteTarget(answer.id, targetIdOf(answer.payload.substr(own.size())).value);
                        takeToken(answer.token);
                        ++report_.answered;
                        finish();
@@ -237,14 +244,18 @@
                reply);
 }
 
-void FakeFleet::noteTarget(std::uint64_t flow, std::uint64_t target)
+void FakeFleet::noteTarget(const RequestId &id, std::uint64_t target)
 {
-    Ledger::Placement &placement = ledger_->placements[flow];
+    if (ledger_->shed.contains(id)) {
+        // It may have run at another target than that of its flow, also as the first request of the flow.
+        return;
+    }
+    Ledger::Placement &placement = ledger_->placements[id.flow.value];
     if (placement.target == 0 || placement.target == target) {
         placement = { target, 0 };
         return;
     }
-    // A single request that its target shed may run at another one; the flow moves when the next one runs there too.
+    // A single request may run elsewhere after its target refused it; the flow moves when the next one runs there too.
     if (placement.elsewhere != target) {
         placement.elsewhere = target;
         return;
--- a/tests/fakefleetparts.h
+++ b/tests/fakefleetparts.h
@@ -84,6 +84,7 @@
 {
     std::map<RequestId, int> executions; ///< of non-idempotent requests
     std::set<RequestId> toldNotRun;
+    std::set<RequestId> shed; ///< by a target, so that they may have run at another one than their flow's
     /** Where a flow's answers came from. */
     struct Placement
     {
--- a/tests/fleet_tests.cpp
+++ b/tests/fleet_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <cstdlib>
 #include <iostream>
 
@@ -57,21 +58,33 @@
     sum.violations.insert(sum.violations.end(), part.violations.begin(), part.violations.end());
 }
 
+FleetReport runSeed(FleetOptions options, std::uint64_t seed, std::uint64_t steps)
+{
+    options.seed = seed;
+    FakeFleet fleet(options);
+    fleet.run(std::chrono::hours(1), steps);
+    fleet.settle();
+    return fleet.report();
+}
+
 FleetReport runSeeds(const FleetOptions &base, std::uint64_t seeds, std::uint64_t steps)
 {
     const std::uint64_t first = numberFrom("POPLARROAD_FIRST_SEED", 1);
     FleetReport sum;
     for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
-        FleetOptions options = base;
-        options.seed = seed;
-        FakeFleet fleet(options);
-        fleet.run(std::chrono::hours(1), steps);
-        fleet.settle();
-        add(sum, fleet.report());
+        add(sum, runSeed(base, seed, steps));
     }
     return sum;
 }
 
+/** Steps of a run in CI; the seeds below failed with this number. */
+constexpr std::uint64_t usualSteps = 40'000;
+/** A balancer that missed a takeover moved a flow back to its earlier target; the last one: its first request was shed. */
+constexpr std::array<std::uint64_t, 3> movedSeeds{ 53044, 53072, 53094 };
+/** Repeats of a renewal to a dead or paused balancer put off its reply (the last one: a pause cut short by the run's end). */
+constexpr std::array<std::uint64_t, 14> silentSeeds{ 53010, 53034, 53046, 53127, 53191, 53196, 53247,
+                                                     53303, 53307, 53336, 53390, 53263, 53006, 61014 };
+
 } // namespace
 
 TEST_CASE("an undisturbed fleet answers every request")
@@ -94,7 +107,7 @@
     FleetOptions options;
     options.faults = false;
     const std::uint64_t seeds = numberFrom("POPLARROAD_SEEDS", 6);
-    const FleetReport report = runSeeds(options, seeds, numberFrom("POPLARROAD_STEPS", 40'000));
+    const FleetReport report = runSeeds(options, seeds, numberFrom("POPLARROAD_STEPS", usualSteps));
     print("planned changes", seeds, report);
     requireNoViolation(report);
     CHECK(report.unknown == 0);
@@ -103,10 +116,25 @@
     CHECK(report.workAtLeaving == 0);
 }
 
+TEST_CASE("runs that once moved a flow or left a request without a reply")
+{
+    FleetOptions planned;
+    planned.faults = false;
+    for (const std::uint64_t seed : movedSeeds) {
+        CHECK(runSeed(planned, seed, usualSteps).movedFlows == 0);
+    }
+    for (const std::uint64_t seed : silentSeeds) {
+        const FleetReport report = runSeed(FleetOptions{}, seed, usualSteps);
+        CHECK(report.silent == 0);
+        CHECK(report.workAtLeaving == 0);
+        requireNoViolation(report);
+    }
+}
+
 TEST_CASE("kills, pauses, cuts and broken targets never run a bid twice, misreport it or misroute an answer")
 {
     const std::uint64_t seeds = numberFrom("POPLARROAD_SEEDS", 10);
-    const FleetReport report = runSeeds(FleetOptions{}, seeds, numberFrom("POPLARROAD_STEPS", 40'000));
+    const FleetReport report = runSeeds(FleetOptions{}, seeds, numberFrom("POPLARROAD_STEPS", usualSteps));
     print("faults", seeds, report);
     requireNoViolation(report);
     CHECK(report.workAtLeaving == 0);
