Do not spin while a balancer knows no services

Cause: half of the expiry period was computed in whole seconds, which is 0, so the packet task's timer was due again at once until the first services came. Change: the period is in milliseconds.

--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -10,7 +10,7 @@
 {
 
 /** How often idle flows are looked for; bounds the extra memory by a second of new flows. */
-constexpr std::chrono::seconds expiryPeriod{ 1 };
+constexpr Milliseconds expiryPeriod{ 1000 };
 /** Time on top of the idle timeout, for packets that are still on their way. */
 constexpr std::chrono::seconds expirySlack{ 2 };
 /** Least part of their time that flows are taken to wait for answers, before enough of them were seen. */
--- a/tests/flowrouter_tests.cpp
+++ b/tests/flowrouter_tests.cpp
@@ -309,6 +309,14 @@
     CHECK(resets.empty());
 }
 
+TEST_CASE("a balancer that knows no services yet does not spin on its timer")
+{
+    FlowRouter router(ownZone, 1);
+    std::vector<ResetFlow> resets;
+    router.onTimer(start, resets);
+    CHECK(router.nextTimer() >= at(100));
+}
+
 TEST_CASE("packets for a route that never existed get no answer, those for a removed route a reset")
 {
     FlowRouter router = routerWith({ listed(1) });
