Order the changes of targets by what each balancer knew, and hand lapsed entries on only at the start

Causes: - each balancer that reads the list while an entry is missing logs the loss at its own revision; such a loss reached balancers that knew of the return; - the log was taken to be sorted by revision, which a loss with the entry's last revision breaks, so that peers missed it; - a balancer took a lapsed entry over from a peer that still waited, after it had given the entry up itself, and so on in a circle; each end reset flows. Change: a change that is older than the entry is left out (but for a whole list), the log is kept by the position at which this replica took a change, and lapsed entries are taken over only in the first 2.2 s. Three cases of directory_tests fail without the change.

--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -21,8 +21,9 @@
         return news;
     }
     const bool first = revision_.value == 0;
+    firstListAt_ = firstListAt_.value_or(now);
     for (const TargetChange &change : update.changes) {
-        take(change, now, news);
+        take(change, update, now, news);
     }
     if (update.complete) {
         absl::flat_hash_set<TargetId> named;
@@ -38,7 +39,9 @@
             }
         }
         for (const TargetId id : missing) {
-            lose(id, update.revision, now, news);
+            TargetChange gone{ update.revision, Listing::Gone, {} };
+            gone.target.target.id = id;
+            lose(gone, update, now, news);
         }
         if (first) {
             logStart_ = update.revision;
@@ -51,63 +54,80 @@
     return news;
 }
 
-void TargetReplica::take(const TargetChange &change, TimePoint now, TargetUpdate &news)
+bool TargetReplica::outdated(const TargetChange &change, const TargetUpdate &update) const
 {
+    // Balancers learn of the loss and the return of an entry at different revisions and in different order.
     const TargetId id = change.target.target.id;
-    if (change.listing == Listing::Lapsed) {
+    for (const auto *entries : { &entries_, &lapsed_ }) {
+        const auto known = entries->find(id);
+        if (known != entries->end() && change.revision < known->second.revision) {
+            return !update.complete;
+        }
+    }
+    return false;
+}
+
+void TargetReplica::take(const TargetChange &change, const TargetUpdate &update, TimePoint now, TargetUpdate &news)
+{
+    const TargetId id = change.target.target.id;
+    if (change.listing == Listing::Lapsed || outdated(change, update)) {
         return;
     }
     if (change.listing == Listing::Gone) {
-        lose(id, change.revision, now, news);
+        lose(change, update, now, news);
         return;
     }
     const bool wasLapsed = lapsed_.erase(id) > 0;
     const auto known = entries_.find(id);
-    if (known != entries_.end() && known->second == change.target && !wasLapsed) {
+    if (known != entries_.end() && known->second.target == change.target && !wasLapsed) {
+        known->second.revision = change.revision;
         return;
     }
-    entries_.insert_or_assign(id, change.target);
+    entries_.insert_or_assign(id, Entry{ change.target, change.revision });
     TargetChange present = change;
     present.listing = Listing::Present;
-    log(present);
+    log(present, update);
     news.changes.push_back(std::move(present));
 }
 
 void TargetReplica::adopt(const TargetChange &lapsed, TimePoint now, TargetUpdate &news)
 {
     const TargetId id = lapsed.target.target.id;
-    if (entries_.contains(id) || lapsed_.contains(id)) {
+    const bool starting = !firstListAt_ || now - *firstListAt_ <= AdoptTime;
+    if (!starting || entries_.contains(id) || lapsed_.contains(id)) {
         return;
     }
-    lapsed_.insert_or_assign(id, lapsed.target);
+    lapsed_.insert_or_assign(id, Entry{ lapsed.target, lapsed.revision });
     lapses_.push_back({ id, now + LapseTime });
     news.changes.push_back(lapsed);
 }
 
-void TargetReplica::lose(TargetId target, Revision revision, TimePoint now, TargetUpdate &news)
+void TargetReplica::lose(const TargetChange &gone, const TargetUpdate &update, TimePoint now, TargetUpdate &news)
 {
-    const auto known = entries_.find(target);
+    const TargetId id = gone.target.target.id;
+    const auto known = entries_.find(id);
     if (known == entries_.end()) {
         return;
     }
-    TargetChange gone{ revision, Listing::Gone, {} };
-    gone.target.target.id = target;
-    log(gone);
-    if (known->second.target.state == TargetState::Active) {
-        news.changes.push_back({ revision, Listing::Lapsed, known->second });
-        lapsed_.insert_or_assign(target, std::move(known->second));
-        lapses_.push_back({ target, now + LapseTime });
+    log(gone, update);
+    Entry entry{ std::move(known->second.target), gone.revision };
+    entries_.erase(known);
+    if (entry.target.target.state == TargetState::Active) {
+        news.changes.push_back({ gone.revision, Listing::Lapsed, entry.target });
+        lapsed_.insert_or_assign(id, std::move(entry));
+        lapses_.push_back({ id, now + LapseTime });
     } else {
-        news.changes.push_back(std::move(gone));
+        news.changes.push_back(gone);
     }
-    entries_.erase(known);
 }
 
-void TargetReplica::log(const TargetChange &change)
+void TargetReplica::log(const TargetChange &change, const TargetUpdate &update)
 {
-    log_.push_back(change);
+    // A change that is older than this replica's list is new to those who had the list before the update.
+    const Revision position = change.revision > revision_ ? change.revision : update.revision;
+    log_.push_back({ std::max(position, lastChange()), change });
     if (log_.size() > LongestLog) {
-        logStart_ = log_.front().revision;
+        logStart_ = log_.front().position;
         log_.pop_front();
     }
 }
@@ -141,17 +161,19 @@
     update.revision = revision_;
     update.complete = after.value == 0 || after < logStart_;
     for (const auto &[id, entry] : lapsed_) {
-        update.changes.push_back({ revision_, Listing::Lapsed, entry });
+        update.changes.push_back({ entry.revision, Listing::Lapsed, entry.target });
     }
     if (update.complete) {
         for (const auto &[id, entry] : entries_) {
-            update.changes.push_back({ revision_, Listing::Present, entry });
+            update.changes.push_back({ entry.revision, Listing::Present, entry.target });
         }
         return update;
     }
-    const auto first =
-        std::find_if(log_.begin(), log_.end(), [&](const TargetChange &change) { return change.revision > after; });
-    update.changes.insert(update.changes.end(), first, log_.end());
+    for (const Logged &logged : log_) {
+        if (logged.position > after) {
+            update.changes.push_back(logged.change);
+        }
+    }
     return update;
 }
 
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -26,6 +26,9 @@
     /** Changes kept for peers that are behind; one that is further behind gets the whole list. */
     static constexpr std::size_t LongestLog = 512;
 
+    /** How long after its first list a balancer takes over the lapsed entries of its peers; later it has its own. */
+    static constexpr Milliseconds AdoptTime{ 2200 };
+
     /** Takes an answer of the store or of a peer. @return what changed for the users of the list */
     TargetUpdate apply(const TargetUpdate &update, TimePoint now);
     /** Gives up lapsed entries whose time is over. @return them, as gone */
@@ -38,7 +41,7 @@
     /** @return the revision of the last change */
     Revision lastChange() const
     {
-        return log_.empty() ? logStart_ : log_.back().revision;
+        return log_.empty() ? logStart_ : log_.back().position;
     }
     /** @return what a peer lacks that knows the list up to `after`; 0 for a peer that knows nothing */
     TargetUpdate since(Revision after) const;
@@ -52,23 +55,39 @@
     }
 
 private:
+    /** An entry with the revision that it was written or lost at. */
+    struct Entry
+    {
+        ListedTarget target;
+        Revision revision;
+    };
+    /** A change with its place in the order in which this replica took changes. */
+    struct Logged
+    {
+        Revision position; ///< a list at this revision has the change
+        TargetChange change;
+    };
     struct Lapse
     {
         TargetId target;
         TimePoint until;
     };
 
-    void take(const TargetChange &change, TimePoint now, TargetUpdate &news);
+    /** @param update that the change is a part of */
+    void take(const TargetChange &change, const TargetUpdate &update, TimePoint now, TargetUpdate &news);
+    /** @return whether the change is older than what is known of the entry; a whole list is never */
+    bool outdated(const TargetChange &change, const TargetUpdate &update) const;
     /** Uses an entry on that lapsed at a peer and that this replica does not know. */
     void adopt(const TargetChange &lapsed, TimePoint now, TargetUpdate &news);
-    void lose(TargetId target, Revision revision, TimePoint now, TargetUpdate &news);
-    void log(const TargetChange &change);
+    void lose(const TargetChange &gone, const TargetUpdate &update, TimePoint now, TargetUpdate &news);
+    void log(const TargetChange &change, const TargetUpdate &update);
 
     Revision revision_;
-    absl::flat_hash_map<TargetId, ListedTarget> entries_;
-    absl::flat_hash_map<TargetId, ListedTarget> lapsed_;
+    std::optional<TimePoint> firstListAt_;
+    absl::flat_hash_map<TargetId, Entry> entries_;
+    absl::flat_hash_map<TargetId, Entry> lapsed_;
     std::deque<Lapse> lapses_; ///< by end
-    std::deque<TargetChange> log_; ///< by revision
+    std::deque<Logged> log_; ///< by position
     Revision logStart_; ///< the log holds every change after it
 };
 
--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -277,6 +277,45 @@
     }
 }
 
+TEST_CASE("an older loss of an entry that came back makes balancers give up a living target")
+{
+    TargetReplica replica;
+    replica.apply(whole(10, { present(1, 3) }), at(0));
+    replica.apply(changes(20, { present(1, 18) }), at(10));
+    // Another balancer read the list while the entry was missing and learned of its return in another way.
+    const TargetUpdate news = replica.apply(changes(21, { gone(1, 15) }), at(20));
+    CHECK(news.changes.empty());
+    CHECK(replica.size() == 1);
+}
+
+TEST_CASE("a loss that the store reports with the entry's last revision does not reach a peer")
+{
+    TargetReplica source;
+    source.apply(whole(10, { present(1, 3), present(2, 4) }), at(0));
+    source.apply(changes(20, { present(2, 20) }), at(10));
+    TargetReplica peer;
+    peer.apply(source.since({}), at(10));
+    source.apply(changes(25, { gone(1, 3) }), at(20));
+    const TargetUpdate news = peer.apply(source.since(peer.lastChange()), at(30));
+    REQUIRE(news.changes.size() == 1);
+    CHECK(news.changes.front().listing == Listing::Lapsed);
+}
+
+TEST_CASE("balancers hand a lapsed entry to each other for ever")
+{
+    TargetReplica first;
+    TargetReplica second;
+    first.apply(whole(10, { present(1, 3) }), at(0));
+    second.apply(first.since({}), at(0));
+    second.apply(whole(20, {}), at(4000));
+    first.apply(whole(20, {}), at(5000));
+    second.onTimer(at(6300));
+    CHECK(second.lapsed() == 0);
+    // The other one still waits for the entry; this one has given it up.
+    CHECK(second.apply(first.since(second.lastChange()), at(6400)).changes.empty());
+    CHECK(second.lapsed() == 0);
+}
+
 TEST_CASE("a balancer that starts while the store has lost entries takes the lapsed ones of its peers")
 {
     TargetReplica peer;
