Measure decisions by reason, answer times, store calls and timer delays

Counters by reason use the same tables of names as the logs; histograms have fixed buckets and fixed memory. A balancer's log takes the level of its settings.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -1,6 +1,7 @@
 #ifndef POPLARROAD_BASE_COUNTERS_H
 #define POPLARROAD_BASE_COUNTERS_H
 
+#include "base/metrics.h"
 #include "poplarroad/enumnames.h"
 
 #include <array>
@@ -104,8 +105,8 @@
     std::array<std::atomic<std::uint64_t>, EnumNames<Counter>::table.size()> values_{};
 };
 
-/** @return the sums over the sets in Prometheus' text format */
-std::string prometheusText(const std::vector<const CounterSet *> &sets);
+/** Writes the sums over the sets. */
+void writeCounters(MetricsText &text, const std::vector<const CounterSet *> &sets);
 
 } // namespace poplarroad
 
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -35,10 +35,11 @@
 } // namespace
 
 DirectoryTask::DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers,
-                             CounterSet &counters, LogSink &logSink)
+                             CounterSet &counters, DirectoryMetrics &metrics, LogSink &logSink)
     : receivers_(std::move(receivers))
     , counters_(counters)
-    , log_(logSink)
+    , metrics_(metrics)
+    , log_(logSink, settings.logLevel)
     , source_(makeSource(loop_))
     , feeds_{ DirectoryFeed(servicesWait, std::random_device()()), DirectoryFeed(targetsWait, std::random_device()()) }
     , self_(settings.peers)
@@ -57,6 +58,7 @@
 
 void DirectoryTask::start()
 {
+    metrics_.follows.set(following_ ? 1 : 0);
     timer_.armAt(now());
     pauses_.start();
     thread_.start(loop_, "directory");
@@ -91,6 +93,7 @@
     const bool follows = share_.follows(time) && !leaving_;
     if (follows != following_) {
         following_ = follows;
+        metrics_.follows.set(follows ? 1 : 0);
         log_.write(LogEvent::FollowStore, time, { { "follows", follows } });
     }
     for (DirectoryFeed &each : feeds_) {
@@ -115,7 +118,8 @@
 void DirectoryTask::call(DirectoryPart part, const DirectoryFeed::Due &due)
 {
     counters_.add(Counter::StoreCalls);
-    const auto callback = [this, part, number = due.number](DirectoryAnswer answer) {
+    const auto callback = [this, part, number = due.number, calledAt = now()](DirectoryAnswer answer) {
+        metrics_.storeCalls.add(now() - calledAt);
         onAnswer(part, number, std::move(answer));
     };
     std::visit(Visitor{
@@ -147,6 +151,7 @@
 {
     if (error) {
         counters_.add(Counter::StoreFailures);
+        metrics_.storeErrors.add(*error);
     }
     if (storeReachable_ == !error) {
         return;
@@ -166,6 +171,7 @@
         return false;
     }
     services_ = services;
+    metrics_.servicesVersion.set(static_cast<std::int64_t>(services->version));
     log_.write(LogEvent::ServicesInForce, now(),
                { { "version", static_cast<std::int64_t>(services->version) },
                  { "routes", static_cast<std::int64_t>(services->routes.size()) } });
@@ -178,6 +184,7 @@
 {
     const TargetUpdate news = targets_.apply(update, now());
     publish(news);
+    metrics_.targets.set(static_cast<std::int64_t>(targets_.size()));
     checkReady();
     return !news.changes.empty();
 }
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -5,6 +5,7 @@
 #include "eventlog.h"
 #include "link/directorysource.h"
 #include "mailbox.h"
+#include "packetmetrics.h"
 #include "packettask.h"
 #include "pausedetector.h"
 #include "service/directoryfeed.h"
@@ -40,7 +41,7 @@
     };
 
     DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers, CounterSet &counters,
-                  LogSink &logSink);
+                  DirectoryMetrics &metrics, LogSink &logSink);
 
     void start();
     /** Callable from any thread. */
@@ -92,6 +93,7 @@
 
     Receivers receivers_;
     CounterSet &counters_;
+    DirectoryMetrics &metrics_;
     EventLog log_;
     EventLoop loop_;
     std::unique_ptr<DirectorySource> source_;
--- a/src/host/eventlog.cpp
+++ b/src/host/eventlog.cpp
@@ -51,6 +51,9 @@
 
 void EventLog::write(LogEvent event, TimePoint now, std::initializer_list<LogField> fields)
 {
+    if (levelOf(event) < least_) {
+        return;
+    }
     if (!take(event, now)) {
         ++dropped_;
         return;
--- a/src/host/eventlog.h
+++ b/src/host/eventlog.h
@@ -1,6 +1,7 @@
 #ifndef POPLARROAD_HOST_EVENTLOG_H
 #define POPLARROAD_HOST_EVENTLOG_H
 
+#include "host/settings.h"
 #include "poplarroad/clock.h"
 #include "poplarroad/enumnames.h"
 
@@ -58,6 +59,19 @@
     };
 };
 
+/** @return how much an event matters to an operator */
+constexpr LogLevel levelOf(LogEvent event)
+{
+    switch (event) {
+    case LogEvent::Paused:
+    case LogEvent::StoreLost:
+    case LogEvent::LinesDropped:
+        return LogLevel::Warning;
+    default:
+        return LogLevel::Info;
+    }
+}
+
 /** One named value of a line. */
 struct LogField
 {
@@ -94,12 +108,14 @@
     static constexpr double Burst = 100.0;
     static constexpr double LinesPerSecond = 20.0;
 
-    explicit EventLog(LogSink &sink)
+    /** @param least lines of events below it are left out */
+    explicit EventLog(LogSink &sink, LogLevel least = LogLevel::Debug)
         : sink_(sink)
+        , least_(least)
     {
     }
 
-    /** Writes a line unless the event has used up its budget. */
+    /** Writes a line unless its level is too low or the event has used up its budget. */
     void write(LogEvent event, TimePoint now, std::initializer_list<LogField> fields);
     /** @return lines that were left out */
     std::uint64_t dropped() const
@@ -118,6 +134,7 @@
     bool emit(LogEvent event, std::initializer_list<LogField> fields);
 
     LogSink &sink_;
+    LogLevel least_;
     std::array<Budget, EnumNames<LogEvent>::table.size()> budgets_{};
     std::uint64_t dropped_ = 0;
     std::uint64_t told_ = 0; ///< of the dropped lines, those that a line has told
--- a/src/host/metricstask.cpp
+++ b/src/host/metricstask.cpp
@@ -49,7 +49,9 @@
 
 void MetricsTask::onRequest(evhtp_request *request, void *self)
 {
-    const std::string text = prometheusText(static_cast<MetricsTask *>(self)->sets_);
+    MetricsText metrics;
+    writeCounters(metrics, static_cast<MetricsTask *>(self)->sets_);
+    const std::string &text = metrics.text();
     evbuffer_add(request->buffer_out, text.data(), text.size());
     evhtp_headers_add_header(request->headers_out, evhtp_header_new("Content-Type", "text/plain; version=0.0.4", 0, 0));
     evhtp_send_reply(request, EVHTP_RES_OK);
--- a/src/host/packethost.cpp
+++ b/src/host/packethost.cpp
@@ -9,19 +9,22 @@
 PacketHost::PacketHost(const Settings &settings, std::unique_ptr<PacketCodec> codec,
                        const DirectoryTask::SourceFactory &makeSource)
     : settings_(settings)
-    , log_(output_)
+    , log_(output_, settings_.logLevel)
     , links_(makeLinks())
     , peers_(settings_, links_, peerCounters_)
     , packets_(
           settings_, std::move(codec), [this](SendFleetMessage message) { peers_.post(std::move(message)); },
-          packetCounters_, output_)
+          packetCounters_, packetMetrics_, output_)
     , directory_(settings_, makeSource,
                  { [this](PacketTaskMessage message) { packets_.post(std::move(message)); },
                    [this](SendFleetMessage message) { peers_.post(std::move(message)); },
                    [this](PlatformHosts hosts) { peers_.post(std::move(hosts)); }, [this] { ready_ = true; } },
-                 directoryCounters_, output_)
-    , status_(settings_.metrics, settings_.readinessPath, ready_,
-              { &packetCounters_, &directoryCounters_, &peerCounters_ })
+                 directoryCounters_, directoryMetrics_, output_)
+    , status_(settings_.metrics, settings_.readinessPath, ready_, [this](MetricsText &text) {
+        writeCounters(text, { &packetCounters_, &directoryCounters_, &peerCounters_ });
+        text.histogram("answer_seconds", packets_.answerTimes());
+        writeMetrics(text, packetMetrics_, directoryMetrics_);
+    })
 {
 }
 
--- a/src/host/packethost.h
+++ b/src/host/packethost.h
@@ -42,6 +42,8 @@
     CounterSet directoryCounters_;
     std::atomic<bool> ready_ = false;
     CounterSet peerCounters_;
+    PacketMetrics packetMetrics_;
+    DirectoryMetrics directoryMetrics_;
     TaskLinks links_;
     PeerTask peers_;
     PacketTask packets_;
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarroad/visitor.h"
 
+#include <algorithm>
 #include <random>
 
 namespace poplarroad
@@ -27,25 +28,31 @@
 } // namespace
 
 PacketTask::PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec,
-                       std::function<void(SendFleetMessage)> toPeers, CounterSet &counters, LogSink &logSink)
+                       std::function<void(SendFleetMessage)> toPeers, CounterSet &counters, PacketMetrics &metrics,
+                       LogSink &logSink)
     : callerPort_(settings.callers.port)
     , codec_(std::move(codec))
     , toPeers_(std::move(toPeers))
     , counters_(counters)
-    , log_(logSink)
+    , metrics_(metrics)
+    , log_(logSink, settings.logLevel)
     , router_(zoneIdOf(settings.zone), std::random_device()())
     , self_(settings.peers)
     , random_(std::random_device()())
     , reportTimer_(loop_, [this] { sendReport(); })
     , socket_(loop_, settings.callers, [this](const HostAddress &, std::string_view datagram) { onDatagram(datagram); })
-    , timer_(loop_, [this] { onTimer(); })
+    , timer_(loop_,
+             [this] {
+                 metrics_.timerDelays.add(now() - timerDue_);
+                 onTimer();
+             })
     , mailbox_(loop_, [this](PacketTaskMessage &&message) { handle(std::move(message)); })
 {
 }
 
 void PacketTask::start()
 {
-    timer_.armAt(now());
+    armTimer();
     reportTimer_.armAfter(reportPeriod);
     thread_.start(loop_, "packets");
 }
@@ -66,14 +73,14 @@
                    [&](ServicesInForce &inForce) { router_.setServices(std::move(inForce.services)); },
                    [&](const TargetUpdate &update) {
                        router_.setTargets(update.changes, update.complete, now());
-                       timer_.armAt(router_.nextTimer());
+                       armTimer();
                    },
                    [&](FleetViewChanged &changed) { view_ = std::move(changed.view); },
                    [&](const FleetMessageReceived &received) {
                        if (const auto *report = std::get_if<LoadReport>(&received.message)) {
                            router_.onPeerReport(received.from, *report, now());
                            logJudgements(now());
-                           timer_.armAt(router_.nextTimer());
+                           armTimer();
                        }
                    },
                    [&](const StopTask &) { loop_.stop(); },
@@ -86,6 +93,7 @@
     const auto packet = codec_->decode(datagram);
     if (!packet) {
         counters_.add(Counter::PacketsRefused);
+        metrics_.refused.add(*codec_->lastError());
         return;
     }
     const TimePoint time = now();
@@ -102,6 +110,7 @@
                    [&](const ResetFlow &flow) { reset(flow); },
                    [&](const DropPacket &drop) {
                        counters_.add(Counter::PacketsDropped);
+                       metrics_.drops.add(drop.reason);
                        logDrop(*packet, drop.reason, time);
                    },
                },
@@ -115,6 +124,7 @@
 void PacketTask::reset(const ResetFlow &reset)
 {
     counters_.add(Counter::FlowsReset);
+    metrics_.resets.add(reset.reason);
     log_.write(LogEvent::FlowReset, now(),
                { { "caller", toString(reset.flow.caller) },
                  { "service", toString(reset.flow.service) },
@@ -169,7 +179,27 @@
         reset(flow);
     }
     logSummary(now());
-    timer_.armAt(router_.nextTimer());
+    measure();
+    armTimer();
+}
+
+void PacketTask::armTimer()
+{
+    timerDue_ = std::max(router_.nextTimer(), now());
+    timer_.armAt(timerDue_);
+}
+
+void PacketTask::measure()
+{
+    metrics_.flows.set(static_cast<std::int64_t>(router_.flows()));
+    std::array<std::int64_t, EnumNames<TargetBelief>::table.size()> targets{};
+    for (const auto &[id, index] : router_.targets().byId()) {
+        const TargetEntry &target = router_.targets().at(index);
+        targets[static_cast<std::size_t>(target.evidence.belief())] += target.listing == Listing::Gone ? 0 : 1;
+    }
+    for (std::size_t belief = 0; belief < targets.size(); ++belief) {
+        metrics_.targets[belief].set(targets[belief]);
+    }
 }
 
 void PacketTask::logSummary(TimePoint time)
--- a/src/host/packettask.h
+++ b/src/host/packettask.h
@@ -6,6 +6,7 @@
 #include "link/datagramsocket.h"
 #include "link/packetcodec.h"
 #include "mailbox.h"
+#include "packetmetrics.h"
 #include "service/flowrouter.h"
 #include "settings.h"
 #include "taskmessages.h"
@@ -31,7 +32,8 @@
 public:
     /** @param toPeers called in the task's thread and only posts */
     PacketTask(const Settings &settings, std::unique_ptr<PacketCodec> codec,
-               std::function<void(SendFleetMessage)> toPeers, CounterSet &counters, LogSink &logSink);
+               std::function<void(SendFleetMessage)> toPeers, CounterSet &counters, PacketMetrics &metrics,
+               LogSink &logSink);
 
     bool bound() const
     {
@@ -41,12 +43,19 @@
     /** Callable from any thread. */
     void post(PacketTaskMessage message);
     void join();
+    /** @return from a caller's request to the acknowledgement of its answer; readable from any thread */
+    const LatencyHistogram &answerTimes() const
+    {
+        return router_.answerTimes();
+    }
 
 private:
     void handle(PacketTaskMessage &&message);
     void onDatagram(std::string_view datagram);
     void reset(const ResetFlow &reset);
     void onTimer();
+    void armTimer();
+    void measure();
     void sendReport();
     void logPlacement(const Packet &packet, const ForwardPacket &forward, TimePoint time);
     void logDrop(const Packet &packet, DropReason reason, TimePoint time);
@@ -57,6 +66,7 @@
     std::unique_ptr<PacketCodec> codec_;
     std::function<void(SendFleetMessage)> toPeers_;
     CounterSet &counters_;
+    PacketMetrics &metrics_;
     EventLog log_;
     EventLoop loop_;
     FlowRouter router_;
@@ -64,6 +74,7 @@
     SeededRandom random_;
     std::shared_ptr<const FleetView> view_;
     LoopTimer reportTimer_;
+    TimePoint timerDue_;
     TimePoint nextSummary_;
     std::uint64_t summarized_ = 0; ///< packets forwarded up to the last summary
     DatagramSocket socket_;
--- a/src/host/statustask.cpp
+++ b/src/host/statustask.cpp
@@ -13,9 +13,9 @@
 }
 
 StatusTask::StatusTask(const HostAddress &address, const std::string &path, const std::atomic<bool> &ready,
-                       std::vector<const CounterSet *> sets)
+                       std::function<void(MetricsText &)> writeMetrics)
     : ready_(ready)
-    , sets_(std::move(sets))
+    , writeMetrics_(std::move(writeMetrics))
     , server_(evhttp_new(loop_.base()))
     , mailbox_(loop_, [this](StopTask &&) { loop_.stop(); })
 {
@@ -50,7 +50,9 @@
 
 void StatusTask::onMetrics(evhttp_request *request, void *self)
 {
-    const std::string text = prometheusText(static_cast<StatusTask *>(self)->sets_);
+    MetricsText metrics;
+    static_cast<StatusTask *>(self)->writeMetrics_(metrics);
+    const std::string &text = metrics.text();
     evbuffer_add(evhttp_request_get_output_buffer(request), text.data(), text.size());
     evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", "text/plain; version=0.0.4");
     evhttp_send_reply(request, HTTP_OK, nullptr, nullptr);
--- a/src/host/statustask.h
+++ b/src/host/statustask.h
@@ -1,16 +1,16 @@
 #ifndef POPLARROAD_HOST_STATUSTASK_H
 #define POPLARROAD_HOST_STATUSTASK_H
 
-#include "base/counters.h"
+#include "base/metrics.h"
 #include "mailbox.h"
 #include "poplarroad/host.h"
 #include "taskmessages.h"
 #include "taskthread.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 struct evhttp;
 struct evhttp_request;
@@ -30,10 +30,10 @@
     /**
      * @param path of the readiness; answered with 200 or 503
      * @param ready outlives this task
-     * @param sets counters of the other tasks, which outlive this one
+     * @param writeMetrics called in this task's thread; reads what the other tasks measure
      */
     StatusTask(const HostAddress &address, const std::string &path, const std::atomic<bool> &ready,
-               std::vector<const CounterSet *> sets);
+               std::function<void(MetricsText &)> writeMetrics);
 
     bool bound() const
     {
@@ -53,7 +53,7 @@
     static void onMetrics(evhttp_request *request, void *self);
 
     const std::atomic<bool> &ready_;
-    std::vector<const CounterSet *> sets_;
+    std::function<void(MetricsText &)> writeMetrics_;
     EventLoop loop_;
     std::unique_ptr<evhttp, ServerDeleter> server_;
     bool bound_;
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -48,6 +48,7 @@
     : zone_(zone)
     , random_(seed)
     , flows_(targets_)
+    , answerTimes_(std::make_unique<LatencyHistogram>())
 {
 }
 
@@ -164,6 +165,7 @@
     const bool answered = isAfter(packet.acknowledged, flow.acknowledged);
     if (answered && flow.busy && flow.open) {
         const TargetEntry &target = targets_.at(flow.target);
+        answerTimes_->add(now - flow.waitingSince);
         admissions_[target.listed.target.service].onAnswer(now - flow.waitingSince, pressureOf(target, now));
     }
     if (!flow.open || answered) {
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -1,6 +1,7 @@
 #ifndef POPLARROAD_SERVICE_FLOWROUTER_H
 #define POPLARROAD_SERVICE_FLOWROUTER_H
 
+#include "base/metrics.h"
 #include "poplarroad/directory.h"
 #include "poplarroad/packet.h"
 #include "service/openingadmission.h"
@@ -12,6 +13,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -127,6 +129,11 @@
     {
         return targets_;
     }
+    /** @return from a request to the acknowledgement of its answer, as its caller's packets show; readable by any thread */
+    const LatencyHistogram &answerTimes() const
+    {
+        return *answerTimes_;
+    }
     std::size_t flows() const
     {
         return flows_.size();
@@ -174,6 +181,7 @@
     PeerLoads peerLoads_;
     absl::flat_hash_map<ServiceId, OpeningAdmission> admissions_;
     std::vector<TargetJudgement> judgements_;
+    std::unique_ptr<LatencyHistogram> answerTimes_; ///< at a fixed place, since other threads read it
     absl::flat_hash_set<TargetIndex> lost_; ///< targets whose flows have to end
     TimePoint nextExpiry_;
     TimePoint nextTimer_;
--- a/tests/eventlog_tests.cpp
+++ b/tests/eventlog_tests.cpp
@@ -84,3 +84,14 @@
     log.write(LogEvent::Ready, start, {});
     CHECK(sink.lines.size() == 2);
 }
+
+TEST_CASE("a level that an operator sets leaves the lines of other levels out, without counting them as dropped")
+{
+    FakeSink sink;
+    EventLog log(sink, LogLevel::Warning);
+    log.write(LogEvent::FlowReset, start, {});
+    log.write(LogEvent::StoreLost, start, {});
+    REQUIRE(sink.lines.size() == 1);
+    CHECK(nlohmann::json::parse(sink.lines.front()).at("event") == "store-lost");
+    CHECK(log.dropped() == 0);
+}
