Notice settings that change without a signal, and keep hostile inputs of the platform

- poplarroad-edge looks at its settings file every 2 s and reloads it when it was replaced or written; only SIGHUP did that before.
- Four properties of platformadapter_tests and wirefleet_tests were run without a check of their result, so a counterexample passed.

--- a/src/host/stopsignals.cpp
+++ b/src/host/stopsignals.cpp
@@ -1,5 +1,9 @@
 #include "host/stopsignals.h"
 
+#include <sys/stat.h>
+
+#include <utility>
+
 namespace poplarroad
 {
 
@@ -15,11 +19,49 @@
     return signals;
 }
 
-void waitForStop(const sigset_t &signals, const std::function<void()> &reload)
+FileWatch::FileWatch(std::string path)
+    : path_(std::move(path))
+    , seen_(look())
+{
+}
+
+std::optional<FileWatch::Stamp> FileWatch::look() const
+{
+    struct stat status
+    {
+    };
+    if (stat(path_.c_str(), &status) != 0) {
+        return std::nullopt;
+    }
+    constexpr std::int64_t nanoseconds = 1'000'000'000;
+    return Stamp{ status.st_ino, status.st_size, status.st_mtim.tv_sec * nanoseconds + status.st_mtim.tv_nsec };
+}
+
+bool FileWatch::changed()
+{
+    const auto now = look();
+    if (!now || now == seen_) {
+        return false;
+    }
+    seen_ = now;
+    return true;
+}
+
+void waitForStop(const sigset_t &signals)
 {
     int signal = 0;
-    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
-        if (signal == SIGHUP && reload) {
+    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) { }
+}
+
+void waitForStop(const sigset_t &signals, FileWatch settings, const std::function<void()> &reload)
+{
+    constexpr timespec period{ SettingsLookPeriod.count(), 0 };
+    for (;;) {
+        const int signal = sigtimedwait(&signals, nullptr, &period);
+        if (signal == SIGTERM || signal == SIGINT) {
+            return;
+        }
+        if (settings.changed() || signal == SIGHUP) {
             reload();
         }
     }
--- a/tests/hostileinput_tests.cpp
+++ b/tests/hostileinput_tests.cpp
@@ -1,3 +1,4 @@
+#include "corpus.h"
 #include "host/settings.h"
 #include "link/configjson.h"
 #include "link/peerauth.h"
@@ -6,11 +7,10 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include <filesystem>
 #include <fstream>
-#include <iterator>
 
 using namespace poplarroad;
+using poplarroad::test::corpus;
 
 namespace
 {
@@ -23,18 +23,6 @@
     return KeyRing({ key });
 }
 
-/** @return the committed inputs of one kind, by file name */
-std::vector<std::pair<std::string, std::string>> corpus(const std::string &kind)
-{
-    std::vector<std::pair<std::string, std::string>> inputs;
-    const auto folder = std::filesystem::path(__FILE__).parent_path() / "corpus" / kind;
-    for (const auto &entry : std::filesystem::directory_iterator(folder)) {
-        std::ifstream file(entry.path(), std::ios::binary);
-        inputs.emplace_back(entry.path().filename(), std::string(std::istreambuf_iterator<char>(file), {}));
-    }
-    return inputs;
-}
-
 /** @return the text with bits flipped, an end cut off or bytes appended */
 std::string damaged(std::string text)
 {
--- /dev/null
+++ b/tests/hostileplatform_tests.cpp
@@ -0,0 +1,85 @@
+// Committed and damaged inputs of the platform: packets of callers and objects of its store.
+
+#include "corpus.h"
+#include "platform/flowpacketcodec.h"
+#include "platform/storeobjects.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace poplarroad;
+using namespace poplarroad::platform;
+using poplarroad::test::corpus;
+
+namespace
+{
+
+std::string listWith(const std::string &spec)
+{
+    const std::string good = R"({"service":"s","address":"10.0.0.2:80","zone":"a","maxConcurrency":3,"state":"ready"})";
+    return R"({"items":[{"meta":{"name":"i-1","revision":3},"spec":)" + spec
+        + R"(},{"meta":{"name":"i-2","revision":4},"spec":)" + good + R"(}],"truncated":false,"currentRev":9})";
+}
+
+} // namespace
+
+TEST_CASE("a committed hostile packet is taken for one, or refused without a reason")
+{
+    const auto inputs = corpus("packets");
+    REQUIRE(inputs.size() >= 10);
+    FlowPacketCodec codec;
+    for (const auto &[name, bytes] : inputs) {
+        CAPTURE(name);
+        CHECK_FALSE(codec.decode(bytes));
+        CHECK(codec.lastError());
+    }
+}
+
+TEST_CASE("a committed hostile answer of the store is taken for a list or for changes")
+{
+    const auto inputs = corpus("store-list");
+    REQUIRE(inputs.size() >= 10);
+    for (const auto &[name, text] : inputs) {
+        CAPTURE(name);
+        for (const DirectoryPart part : { DirectoryPart::Services, DirectoryPart::Targets }) {
+            CHECK(decodeList(part, text).answer.error == StoreError::Malformed);
+            CHECK(decodeEvents(part, text).error == StoreError::Malformed);
+        }
+    }
+}
+
+TEST_CASE("an entry that names no usable target hides the others, or is used")
+{
+    const auto inputs = corpus("store-entries");
+    REQUIRE(inputs.size() >= 10);
+    for (const auto &[name, spec] : inputs) {
+        CAPTURE(name);
+        const StorePage page = decodeList(DirectoryPart::Targets, listWith(spec));
+        CHECK_FALSE(page.answer.error);
+        CHECK(page.answer.refusedEntries == 1);
+        REQUIRE(page.answer.targets.size() == 1);
+        CHECK(page.answer.targets.front().target.target.id == TargetId{ 2 });
+    }
+}
+
+TEST_CASE("a damaged list gives a target that its text does not name, or an exception")
+{
+    const std::string text = listWith(R"({"service":"s","address":"10.0.0.1:80","zone":"a","maxConcurrency":3,)"
+                                      R"("state":"draining","warmupLeftMs":100,"born":7})");
+    REQUIRE(decodeList(DirectoryPart::Targets, text).answer.targets.size() == 2);
+    CHECK(rc::check("flipped bits and cut ends", [&] {
+        std::string damaged = text;
+        for (int flips = *rc::gen::inRange(1, 5); flips > 0; --flips) {
+            const std::size_t bit = *rc::gen::inRange<std::size_t>(0, damaged.size() * 8);
+            damaged[bit / 8] = static_cast<char>(damaged[bit / 8] ^ (1 << (bit % 8)));
+        }
+        damaged.resize(*rc::gen::inRange<std::size_t>(0, damaged.size() + 1));
+        const StorePage page = decodeList(DirectoryPart::Targets, damaged);
+        RC_ASSERT(page.answer.targets.size() + page.answer.refusedEntries <= 2U);
+        for (const TargetChange &change : page.answer.targets) {
+            RC_ASSERT(change.target.target.slots > 0);
+        }
+        static_cast<void>(decodeEvents(DirectoryPart::Targets, damaged));
+        static_cast<void>(decodeList(DirectoryPart::Services, damaged));
+    }));
+}
--- a/tests/platformadapter_tests.cpp
+++ b/tests/platformadapter_tests.cpp
@@ -84,14 +84,14 @@
 
 TEST_CASE("random bytes never make the packet codec read outside of the datagram")
 {
-    rc::check("decode and forward", [](const std::string &bytes) {
+    CHECK(rc::check("decode and forward", [](const std::string &bytes) {
         FlowPacketCodec codec;
         const auto packet = codec.decode(bytes);
         RC_ASSERT(packet.has_value() != codec.lastError().has_value());
         if (packet) {
             RC_ASSERT(codec.headFor({}, PacketTag{ 1 }, bytes).size == 44U);
         }
-    });
+    }));
 }
 
 TEST_CASE("a target's number is read from its name")
@@ -194,8 +194,8 @@
 
 TEST_CASE("random bytes are never taken for an answer of the store")
 {
-    rc::check("decodeList", [](const std::string &body) {
+    CHECK(rc::check("decodeList", [](const std::string &body) {
         RC_ASSERT(decodeList(DirectoryPart::Targets, body).answer.error == StoreError::Malformed);
         RC_ASSERT(decodeEvents(DirectoryPart::Services, body).error == StoreError::Malformed);
-    });
+    }));
 }
--- a/tests/wirefleet_tests.cpp
+++ b/tests/wirefleet_tests.cpp
@@ -111,7 +111,7 @@
 
 TEST_CASE("damaged fleet messages are refused or read, never more")
 {
-    rc::check("one byte changed", [](std::uint16_t position, std::uint8_t value) {
+    CHECK(rc::check("one byte changed", [](std::uint16_t position, std::uint8_t value) {
         const DirectoryContent content{ manyRoutes(5),
                                         Revision{ 1 },
                                         { Revision{ 2 }, true, { target(1, Listing::Present) } } };
@@ -120,10 +120,10 @@
         WireCodec reader = codec();
         const auto decoded = reader.decodeFleetMessage(bytes);
         RC_ASSERT(decoded.has_value() != reader.lastError().has_value());
-    });
-    rc::check("cut short", [](std::uint16_t length) {
+    }));
+    CHECK(rc::check("cut short", [](std::uint16_t length) {
         const std::string bytes = encodeFleetMessage(DirectoryContent{ manyRoutes(5), {}, {} });
         WireCodec reader = codec();
         RC_ASSERT(!reader.decodeFleetMessage(std::string_view(bytes).substr(0, length % bytes.size())));
-    });
+    }));
 }
