--- a/tests/emulator_tests.cpp
+++ b/tests/emulator_tests.cpp
@@ -293,6 +293,24 @@
     CHECK(kinds.size() == std::variant_size_v<Fault>);
 }
 
+TEST_CASE("a planned profile draws a fault that no operator causes")
+{
+    FaultScope scope;
+    scope.profile = FaultProfile::Planned;
+    scope.balancers = 7;
+    scope.targets = 18;
+    scope.routes = 4;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const PlannedFault &planned : drawFaults(scope, seed)) {
+            const Fault &fault = planned.fault;
+            CHECK((std::holds_alternative<StopBalancer>(fault) || std::holds_alternative<ReloadBalancer>(fault)
+                   || std::holds_alternative<ReplaceTarget>(fault) || std::holds_alternative<ChangeRoute>(fault)));
+        }
+    }
+    CHECK(profileOf(3) != profileOf(4));
+    CHECK(profileOf(3) == profileOf(6));
+}
+
 TEST_CASE("a report counts by second and tells the share that was answered")
 {
     RunReport report(start);
