--- /dev/null
+++ b/tools/emulate.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs, builds and plays a scenario of the emulated platform with real balancers.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scenario=${1:?usage: tools/emulate.sh SCENARIO.ini [--faults=planned|sparse|dense|by-seed] [--seed=N] [--runs=N]}
+shift
+tools/install-packages.sh
+cmake --preset release >/dev/null
+cmake --build build/release -j "$(nproc)" --target poplarroad-emulator poplarroad-edge
+build/release/poplarroad-emulator --scenario="$scenario" "$@"
