--- a/tests/emulator_tests.cpp
+++ b/tests/emulator_tests.cpp
@@ -50,7 +50,7 @@
 
 std::string fileWith(const std::string &text)
 {
-    const std::string path = "/tmp/poplarroad-scenario-" + std::to_string(getpid()) + ".ini";
+    std::string path = "/tmp/poplarroad-scenario-" + std::to_string(getpid()) + ".ini";
     std::ofstream(path) << text;
     return path;
 }
--- a/tests/promises_tests.cpp
+++ b/tests/promises_tests.cpp
@@ -14,8 +14,7 @@
 
 const FlowKey flow{ { 0x7f010401, 1030 }, { 0xc6120001, 443 } };
 const FlowKey photoFlow{ { 0x7f010401, 1031 }, { 0xc6120002, 443 } };
-// The emulator has indexes of its own.
-using Target = platform::emulator::TargetIndex;
+using Target = platform::emulator::TargetOrdinal;
 
 /** Builds a history; each step is told its time in milliseconds. */
 class HistoryBuilder
