Keep changes of the directory from waiting behind whole lists, and a longer log of them

The log of 512 changes is shorter than one release wave there, so balancers that are behind get the whole list (264 KB), and changes for others waited behind it in one queue at a fifth of the link.

--- a/src/host/directorypeers.cpp
+++ b/src/host/directorypeers.cpp
@@ -18,9 +18,6 @@
 constexpr std::size_t longestAskers = 8;
 /** How often a balancer that is alone in its zone looks for others. */
 constexpr std::chrono::seconds aloneAskPeriod{ 5 };
-/** Part of the link that content for other balancers may take. */
-constexpr double contentPart = 0.2;
-constexpr double bitsPerByte = 8.0;
 /** Encoded size of a route in a group of many, and of a target. */
 constexpr std::size_t routeBytes = 8;
 constexpr std::size_t targetBytes = 88;
@@ -149,34 +146,24 @@
     if (!ready_) {
         return;
     }
+    // A delay in front of changes lets balancers use targets that leave; whole lists must not cause one.
+    ContentQueue &queue = targets_.hasChangesSince(targets) ? changes_ : wholeLists_;
     for (const HostAddress &host : hosts) {
-        const auto known = std::find_if(pending_.begin(), pending_.end(),
-                                        [&](const PendingContent &content) { return content.host == host; });
-        if (known == pending_.end()) {
-            pending_.push_back({ host, serviceVersion, targets });
-        } else {
-            known->serviceVersion = std::min(known->serviceVersion, serviceVersion);
-            known->targets = std::min(known->targets, targets);
-        }
+        queue.add({ host, serviceVersion, targets });
     }
 }
 
-void DirectoryTask::sendNextContent(TimePoint time)
+void DirectoryTask::sendFrom(ContentQueue &queue, TimePoint time)
 {
-    while (!pending_.empty() && time >= nextContent_) {
-        const PendingContent next = pending_.front();
-        pending_.pop_front();
+    while (const auto next = queue.take(time)) {
         DirectoryContent content;
-        content.services = services_->version > next.serviceVersion ? services_ : nullptr;
-        content.targets = targets_.since(next.targets);
-        content.targetsAfter = next.targets;
-        const std::size_t bytes = (content.services ? content.services->routes.size() * routeBytes : 0)
-            + content.targets.changes.size() * targetBytes;
-        // The callers' packets share the link and must not wait behind a large content.
-        const std::chrono::duration<double, std::micro> taken(static_cast<double>(bytes) * bitsPerByte
-                                                              / (linkMbps_ * contentPart));
-        nextContent_ = std::max(nextContent_, time) + std::chrono::duration_cast<Microseconds>(taken);
-        receivers_.toPeers({ { next.host }, std::move(content) });
+        content.services = services_->version > next->serviceVersion ? services_ : nullptr;
+        content.targets = targets_.since(next->targets);
+        content.targetsAfter = next->targets;
+        queue.onSent((content.services ? content.services->routes.size() * routeBytes : 0)
+                         + content.targets.changes.size() * targetBytes,
+                     time);
+        receivers_.toPeers({ { next->host }, std::move(content) });
     }
 }
 
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -32,6 +32,15 @@
     return static_cast<std::uint64_t>(settings.processorShare * steps);
 }
 
+/** @return bytes a second that the changes, and as many that whole lists for other balancers may take */
+double contentRate(const Settings &settings)
+{
+    /** Part of the link; the callers' packets share it and must not wait behind a large content. */
+    constexpr double contentPart = 0.1;
+    constexpr double bytesPerMegabit = 125'000.0;
+    return settings.linkMbps * contentPart * bytesPerMegabit;
+}
+
 } // namespace
 
 DirectoryTask::DirectoryTask(const Settings &settings, const SourceFactory &makeSource, Receivers receivers,
@@ -47,7 +56,8 @@
     , random_(std::random_device()())
     , startedAt_(now())
     , nextAsk_(startedAt_ + firstAskDelay)
-    , linkMbps_(settings.linkMbps)
+    , changes_(contentRate(settings))
+    , wholeLists_(contentRate(settings))
     , zone_(zoneIdOf(settings.zone))
     , share_(settings.peers, rankOf(settings))
     , timer_(loop_, [this] { advance(); })
@@ -103,9 +113,10 @@
         sendBeacon(time);
     }
     askPeers(time);
-    sendNextContent(time);
+    sendFrom(changes_, time);
+    sendFrom(wholeLists_, time);
     TimePoint next = std::min(
-        { targets_.nextTimer(), share_.nextTimer(time), nextAsk_, pending_.empty() ? TimePoint::max() : nextContent_ });
+        { targets_.nextTimer(), share_.nextTimer(time), nextAsk_, changes_.nextTimer(), wholeLists_.nextTimer() });
     for (const auto &[part, name] : EnumNames<DirectoryPart>::table) {
         if (const auto due = feed(part).next(time)) {
             call(part, *due);
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -8,6 +8,7 @@
 #include "packetmetrics.h"
 #include "packettask.h"
 #include "pausedetector.h"
+#include "service/contentqueue.h"
 #include "service/directoryfeed.h"
 #include "service/directoryshare.h"
 #include "service/targetreplica.h"
@@ -64,16 +65,9 @@
     void sendBeacon(TimePoint time);
     /** Queues what is newer than the given state for each of the hosts. */
     void sendContent(const std::vector<HostAddress> &hosts, std::uint64_t serviceVersion, Revision targets);
-    void sendNextContent(TimePoint time);
+    /** Sends what waits in the queue, as far as the link may take it. */
+    void sendFrom(ContentQueue &queue, TimePoint time);
     DirectoryState state() const;
-    /** Content that a host still has to get. */
-    struct PendingContent
-    {
-        HostAddress host;
-        std::uint64_t serviceVersion = 0;
-        Revision targets;
-    };
-
     /** Asks others for all that they know, while this balancer is new. */
     void askPeers(TimePoint time);
     void onRequest(const FleetMessageReceived &received, const DirectoryRequest &request);
@@ -105,10 +99,9 @@
     SeededRandom random_;
     TimePoint startedAt_;
     TimePoint nextAsk_;
-    double linkMbps_;
-    std::deque<PendingContent> pending_;
+    ContentQueue changes_; ///< for balancers that lack changes only
+    ContentQueue wholeLists_;
     absl::flat_hash_map<ZoneId, std::deque<HostAddress>> askers_; ///< of other zones, latest last
-    TimePoint nextContent_;
     bool peerAnswered_ = false;
     ZoneId zone_;
     DirectoryShare share_;
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -159,7 +159,7 @@
 {
     TargetUpdate update;
     update.revision = revision_;
-    update.complete = after.value == 0 || after < logStart_;
+    update.complete = !hasChangesSince(after);
     for (const auto &[id, entry] : lapsed_) {
         update.changes.push_back({ entry.revision, Listing::Lapsed, entry.target });
     }
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -23,8 +23,11 @@
 public:
     /** A live target writes its entry again within 2 s of the store's return. */
     static constexpr Milliseconds LapseTime{ 2200 };
-    /** Changes kept for peers that are behind; one that is further behind gets the whole list. */
-    static constexpr std::size_t LongestLog = 512;
+    /**
+     * Changes kept for peers that are behind; one that is further behind gets the whole list. All targets of a zone of a few
+     * thousand may change within seconds, in a release or when they register; at some 150 bytes each it takes 0.6 MB.
+     */
+    static constexpr std::size_t LongestLog = 4096;
 
     /** How long after its first list a balancer takes over the lapsed entries of its peers; later it has its own. */
     static constexpr Milliseconds AdoptTime{ 2200 };
@@ -43,6 +46,11 @@
     {
         return log_.empty() ? logStart_ : log_.back().position;
     }
+    /** @return whether since() gives changes only and not the whole list */
+    bool hasChangesSince(Revision after) const
+    {
+        return after.value != 0 && after >= logStart_;
+    }
     /** @return what a peer lacks that knows the list up to `after`; 0 for a peer that knows nothing */
     TargetUpdate since(Revision after) const;
     std::size_t size() const
