Use or refuse each entry of the store by itself

Cause: lists and events were parsed as one JSON text, so one number that no type can hold, one invalid byte or one object without meta made the whole answer malformed for every balancer that reads it; 1e300 slots were converted to an integer without a check.

Change: link/jsonslices splits an answer into its objects by brackets and strings alone, link/jsonfields parses only the fields that are used, with bounds. An odd object is counted by reason and logged with its name once a minute; the others and the revision are applied. A target whose entry turned odd keeps its last valid state until the entry is deleted, an odd route its last readable definition; docs/platform.md 8 says what was weighed. A page whose last names cannot be read ends the list without removing targets.

Tests: oddentries_tests over a corpus of 23 objects in each position, one megabyte of brackets with a bound on the allocated bytes, random bytes in place of an object. Four files of the corpus of malformed lists (null, no meta, a name that is a number, invalid UTF-8 as items) and two checks of platformadapter_tests asked for the whole answer to be refused, which was the fault; they are replaced by checks that the rest is used and the reason given. The emulated store keeps its objects as text, so that it can hold entries that no parser accepts, and the soak has a profile odd-writes.

--- a/include/poplarroad/directory.h
+++ b/include/poplarroad/directory.h
@@ -63,12 +63,22 @@
     std::uint64_t version = 0; ///< increases with each configuration change by the operator
     Milliseconds idleTimeout{ 15000 }; ///< inactivity after which a flow is dropped
     absl::flat_hash_map<HostAddress, ServiceRoute> routes;
+    std::vector<HostAddress> unreadableRoutes; ///< addresses whose routes exist but cannot be read
 
     friend bool operator==(const ServiceMap &, const ServiceMap &) = default;
 };
 
 using ServiceMapPtr = std::shared_ptr<const ServiceMap>;
 
+/**
+ * Keeps the last readable definition of each route that cannot be read in a newer version.
+ *
+ * @param known the current version, or nullptr
+ * @param newer the version that replaces it
+ * @return `newer`, with the routes of `known` in place of its unreadable ones
+ */
+ServiceMapPtr withKnownRoutes(const ServiceMapPtr &known, const ServiceMapPtr &newer);
+
 /** A target as it registers itself in the store. */
 struct ListedTarget
 {
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -144,13 +144,20 @@
 void DirectoryTask::onAnswer(DirectoryPart part, std::uint64_t number, DirectoryResult answer)
 {
     recordStoreResult(part, answer.error);
-    counters_.add(Counter::TargetEntriesRefused, answer.refusedEntries);
+    recordRefusedEntries(part, answer.refused);
     if (watcherOf(part).onAnswer(number, answer, now())) {
         const std::uint64_t version = services_ ? services_->version : 0;
         const Revision before = targets_.revision();
         bool changed = answer.services && applyServices(answer.services);
         if (part == DirectoryPart::Targets) {
-            changed = applyTargets({ answer.revision, answer.complete, std::move(answer.targets) }) || changed;
+            std::vector<TargetId> unreadable;
+            for (const RefusedEntry &entry : answer.refused) {
+                if (entry.target) {
+                    unreadable.push_back(*entry.target);
+                }
+            }
+            const TargetUpdate update{ answer.revision, answer.complete, std::move(answer.targets) };
+            changed = applyTargets(update, unreadable) || changed;
         }
         if (changed && following_ && version != 0 && before.value != 0) {
             queueContent(membersAndGateways(), version, before);
@@ -176,25 +183,40 @@
     }
 }
 
+void DirectoryTask::recordRefusedEntries(DirectoryPart part, const std::vector<RefusedEntry> &entries)
+{
+    counters_.add(Counter::TargetEntriesRefused, entries.size());
+    for (const RefusedEntry &entry : entries) {
+        metrics_.refusedEntries.add(entry.reason);
+        if (refusedEntryLog_.isDue(entry.name, now())) {
+            log_.write(LogEvent::EntryRefused, now(),
+                       { { "part", nameOf(part) },
+                         { "name", entry.name },
+                         { "reason", nameOf(entry.reason) },
+                         { "field", entry.field } });
+        }
+    }
+}
+
 bool DirectoryTask::applyServices(const ServiceMapPtr &services)
 {
     // The version never decreases while the process runs.
     if (services_ && services->version <= services_->version) {
         return false;
     }
-    services_ = services;
-    metrics_.servicesVersion.set(static_cast<std::int64_t>(services->version));
+    services_ = withKnownRoutes(services_, services);
+    metrics_.servicesVersion.set(static_cast<std::int64_t>(services_->version));
     log_.write(LogEvent::ServicesChanged, now(),
-               { { "version", static_cast<std::int64_t>(services->version) },
-                 { "routes", static_cast<std::int64_t>(services->routes.size()) } });
-    callbacks_.toPackets(ServicesChanged{ services });
+               { { "version", static_cast<std::int64_t>(services_->version) },
+                 { "routes", static_cast<std::int64_t>(services_->routes.size()) } });
+    callbacks_.toPackets(ServicesChanged{ services_ });
     checkReady();
     return true;
 }
 
-bool DirectoryTask::applyTargets(const TargetUpdate &update)
+bool DirectoryTask::applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable)
 {
-    const TargetUpdate applied = targets_.apply(update, now());
+    const TargetUpdate applied = targets_.apply(update, now(), unreadable);
     publish(applied);
     metrics_.targets.set(static_cast<std::int64_t>(targets_.size()));
     checkReady();
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -8,6 +8,7 @@
 #include "packetmetrics.h"
 #include "packettask.h"
 #include "pausedetector.h"
+#include "periodicreports.h"
 #include "service/contentqueue.h"
 #include "service/directoryelection.h"
 #include "service/directorywatcher.h"
@@ -63,8 +64,15 @@
     void onAnswer(DirectoryPart part, std::uint64_t number, DirectoryResult answer);
     /** Applies services that are newer than the current ones. @return whether they were newer */
     bool applyServices(const ServiceMapPtr &services);
-    /** Applies an update of the target list. @return whether the list changed */
-    bool applyTargets(const TargetUpdate &update);
+    /**
+     * Applies an update of the target list.
+     *
+     * @param unreadable see TargetReplica::apply()
+     * @return whether the list changed
+     */
+    bool applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable = {});
+    /** Counts the entries, and logs each one once in a while. */
+    void recordRefusedEntries(DirectoryPart part, const std::vector<RefusedEntry> &entries);
     void onFleetMessage(const FleetMessageReceived &received);
     void onBeacon(const FleetMessageReceived &received, const DirectoryBeacon &beacon);
     void onContent(const FleetMessageReceived &received, const DirectoryContent &content);
@@ -103,6 +111,7 @@
     std::array<DirectoryWatcher, EnumNames<DirectoryPart>::table.size()> watchers_;
     ServiceMapPtr services_;
     TargetReplica targets_;
+    PeriodicReports refusedEntryLog_;
     HostAddress self_;
     std::vector<HostAddress> seeds_;
     SeededRandom random_;
--- a/src/host/eventlog.h
+++ b/src/host/eventlog.h
@@ -27,6 +27,7 @@
     StoreRecovered,
     FollowingChanged, ///< this balancer starts to follow the store, or leaves that to another one
     ServicesChanged,
+    EntryRefused, ///< an entry of the store cannot be used
     TargetEntryChanged, ///< in the target list
     TargetLivenessChanged, ///< as observed from the packets of its flows
     FlowPlaced,
@@ -49,6 +50,7 @@
         EnumName<LogEvent>{ LogEvent::StoreRecovered, "store-regained" },
         EnumName<LogEvent>{ LogEvent::FollowingChanged, "follow-store" },
         EnumName<LogEvent>{ LogEvent::ServicesChanged, "services-in-force" },
+        EnumName<LogEvent>{ LogEvent::EntryRefused, "entry-refused" },
         EnumName<LogEvent>{ LogEvent::TargetEntryChanged, "target-listed" },
         EnumName<LogEvent>{ LogEvent::TargetLivenessChanged, "target-judged" },
         EnumName<LogEvent>{ LogEvent::FlowPlaced, "flow-placed" },
@@ -65,6 +67,7 @@
     switch (event) {
     case LogEvent::Paused:
     case LogEvent::StoreLost:
+    case LogEvent::EntryRefused:
     case LogEvent::LinesDropped:
         return LogLevel::Warning;
     default:
--- a/src/host/packetmetrics.h
+++ b/src/host/packetmetrics.h
@@ -24,6 +24,7 @@
 struct DirectoryMetrics
 {
     ReasonCounter<StoreError> storeErrors;
+    ReasonCounter<EntryError> refusedEntries; ///< entries of the store that were not used, each time they were read
     LatencyHistogram storeCalls; ///< from call to answer, including the wait of a watch
     Gauge servicesVersion; ///< current version
     Gauge targets; ///< number of entries in the target list
@@ -40,6 +41,7 @@
     writer.gauge("flows", packets.flows.value());
     writer.gauge<TargetLiveness>("targets", "belief", packets.targets);
     writer.counter("store_errors", directory.storeErrors);
+    writer.counter("entries_refused", directory.refusedEntries);
     writer.histogram("store_call_seconds", directory.storeCalls);
     writer.gauge("services_version", directory.servicesVersion.value());
     writer.gauge("targets_listed", directory.targets.value());
--- a/src/link/directorysource.h
+++ b/src/link/directorysource.h
@@ -6,11 +6,46 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace poplarroad
 {
 
+/** Why an entry of the directory is not used. */
+enum class EntryError : std::uint8_t {
+    NotAnObject,
+    NoName, ///< the name is missing or cannot be read
+    MissingField,
+    UnreadableField, ///< invalid encoding, or a number too large for any type
+    WrongType,
+    OutOfRange,
+    InvalidValue, ///< for example an unknown state, or a text that is not an address
+};
+
+template<>
+struct EnumNames<EntryError>
+{
+    static constexpr std::array table{
+        EnumName<EntryError>{ EntryError::NotAnObject, "not-an-object" },
+        EnumName<EntryError>{ EntryError::NoName, "no-name" },
+        EnumName<EntryError>{ EntryError::MissingField, "missing-field" },
+        EnumName<EntryError>{ EntryError::UnreadableField, "unreadable-field" },
+        EnumName<EntryError>{ EntryError::WrongType, "wrong-type" },
+        EnumName<EntryError>{ EntryError::OutOfRange, "out-of-range" },
+        EnumName<EntryError>{ EntryError::InvalidValue, "invalid-value" },
+    };
+};
+
+/** An entry that cannot be used. Other programs write to the store too, so any entry may hold anything. */
+struct RefusedEntry
+{
+    std::string name; ///< of the entry, or the address of a route; shortened, empty if it cannot be read
+    EntryError reason = EntryError::NotAnObject;
+    std::string field; ///< empty if the reason does not concern a single field
+    std::optional<TargetId> target; ///< set if the name is that of a target
+};
+
 /** Result of a read or a watch of one part of the directory. */
 struct DirectoryResult
 {
@@ -19,7 +54,7 @@
     bool complete = false; ///< the result is the whole part, not only the changes to it
     ServiceMapPtr services; ///< nullptr when there are none or they have not changed
     std::vector<TargetChange> targets;
-    std::uint32_t refusedEntries = 0; ///< entries that do not describe a usable target
+    std::vector<RefusedEntry> refused; ///< listed entries that are not used; a known target among them stays as it is
 };
 
 /** Where services and targets are published; an interface, so that tests can replace the platform. */
--- /dev/null
+++ b/src/link/jsonslices.cpp
@@ -0,0 +1,182 @@
+#include "link/jsonslices.h"
+
+#include <algorithm>
+
+namespace poplarroad
+{
+
+namespace
+{
+
+/** Reads JSON values from a text one after the other, looking only at brackets, strings and separators. */
+class Scanner
+{
+public:
+    explicit Scanner(std::string_view text)
+        : text_(text)
+    {
+    }
+
+    void skipSpace()
+    {
+        constexpr std::string_view whitespace = " \t\r\n";
+        position_ = std::min(text_.find_first_not_of(whitespace, position_), text_.size());
+    }
+
+    bool atEnd() const
+    {
+        return position_ == text_.size();
+    }
+
+    /** Skips whitespace and then the character. @return whether the character was there */
+    bool consume(char expected)
+    {
+        skipSpace();
+        if (atEnd() || text_[position_] != expected) {
+            return false;
+        }
+        ++position_;
+        return true;
+    }
+
+    /** @return the next value, or std::nullopt if it is empty or not closed */
+    std::optional<JsonSlice> value()
+    {
+        skipSpace();
+        const std::size_t start = position_;
+        std::size_t maxDepth = 0;
+        std::size_t depth = 0;
+        do {
+            if (atEnd()) {
+                return std::nullopt;
+            }
+            switch (text_[position_]) {
+            case '"':
+                if (!skipString()) {
+                    return std::nullopt;
+                }
+                break;
+            case '[':
+            case '{':
+                maxDepth = std::max(maxDepth, ++depth);
+                ++position_;
+                break;
+            case ']':
+            case '}':
+                if (depth == 0) {
+                    return std::nullopt;
+                }
+                --depth;
+                ++position_;
+                break;
+            default:
+                if (depth == 0 && position_ == start) {
+                    skipScalar();
+                    return position_ == start ? std::nullopt : std::optional(slice(start, 0));
+                }
+                ++position_;
+            }
+        } while (depth > 0);
+        return slice(start, maxDepth);
+    }
+
+    /** @return the text between the quotes of the next value, or std::nullopt if it is not a closed string */
+    std::optional<std::string_view> string()
+    {
+        skipSpace();
+        const std::size_t start = position_;
+        if (atEnd() || text_[position_] != '"' || !skipString()) {
+            return std::nullopt;
+        }
+        return text_.substr(start + 1, position_ - start - 2);
+    }
+
+private:
+    JsonSlice slice(std::size_t start, std::size_t depth) const
+    {
+        return { text_.substr(start, position_ - start), depth };
+    }
+
+    /** Moves behind the string that starts here. @return whether it is closed */
+    bool skipString()
+    {
+        for (++position_; position_ < text_.size(); ++position_) {
+            if (text_[position_] == '\\') {
+                ++position_;
+            } else if (text_[position_] == '"') {
+                ++position_;
+                return true;
+            }
+        }
+        position_ = text_.size();
+        return false;
+    }
+
+    /** Moves behind a number or a literal. */
+    void skipScalar()
+    {
+        constexpr std::string_view ends = ",:]} \t\r\n";
+        position_ = std::min(text_.find_first_of(ends, position_), text_.size());
+    }
+
+    std::string_view text_;
+    std::size_t position_ = 0;
+};
+
+/**
+ * Reads a bracketed sequence that fills the whole text.
+ *
+ * @param readItem reads one item; returns whether it was complete
+ * @return whether the sequence is complete
+ */
+template<typename ReadItem>
+bool readSequence(std::string_view text, char open, char close, const ReadItem &readItem)
+{
+    Scanner scanner(text);
+    if (!scanner.consume(open)) {
+        return false;
+    }
+    if (!scanner.consume(close)) {
+        do {
+            if (!readItem(scanner)) {
+                return false;
+            }
+        } while (scanner.consume(','));
+        if (!scanner.consume(close)) {
+            return false;
+        }
+    }
+    scanner.skipSpace();
+    return scanner.atEnd();
+}
+
+} // namespace
+
+std::optional<std::vector<JsonSlice>> sliceArray(std::string_view text)
+{
+    std::vector<JsonSlice> elements;
+    const bool complete = readSequence(text, '[', ']', [&](Scanner &scanner) {
+        const auto element = scanner.value();
+        if (element) {
+            elements.push_back(*element);
+        }
+        return element.has_value();
+    });
+    return complete ? std::optional(std::move(elements)) : std::nullopt;
+}
+
+std::optional<std::vector<JsonMember>> sliceObject(std::string_view text)
+{
+    std::vector<JsonMember> members;
+    const bool complete = readSequence(text, '{', '}', [&](Scanner &scanner) {
+        const auto key = scanner.string();
+        const auto value = key && scanner.consume(':') ? scanner.value() : std::nullopt;
+        if (value) {
+            members.push_back({ *key, *value });
+        }
+        return value.has_value();
+    });
+    return complete ? std::optional(std::move(members)) : std::nullopt;
+}
+
+} // namespace poplarroad
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -7,7 +7,7 @@
 namespace poplarroad
 {
 
-TargetUpdate TargetReplica::apply(const TargetUpdate &update, TimePoint now)
+TargetUpdate TargetReplica::apply(const TargetUpdate &update, TimePoint now, const std::vector<TargetId> &unreadable)
 {
     TargetUpdate applied;
     for (const TargetChange &change : update.changes) {
@@ -26,7 +26,7 @@
         applyChange(change, update, now, applied);
     }
     if (update.complete) {
-        absl::flat_hash_set<TargetId> presentIds;
+        absl::flat_hash_set<TargetId> presentIds(unreadable.begin(), unreadable.end());
         for (const TargetChange &change : update.changes) {
             if (change.listing == ListingState::Present) {
                 presentIds.insert(change.target.target.id);
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -33,8 +33,14 @@
     /** How long after its first list a balancer takes over lapsed entries from peers; after that it tracks its own. */
     static constexpr Milliseconds LapsedImportWindow{ 2200 };
 
-    /** Applies an update from the store or from a peer. @return the changes for the readers of the list */
-    TargetUpdate apply(const TargetUpdate &update, TimePoint now);
+    /**
+     * Applies an update from the store or from a peer.
+     *
+     * @param unreadable targets whose entries exist but cannot be read; they keep their last valid state, since a write
+     *     by another program says nothing about the target
+     * @return the changes for the readers of the list
+     */
+    TargetUpdate apply(const TargetUpdate &update, TimePoint now, const std::vector<TargetId> &unreadable = {});
     /** Removes lapsed entries whose grace period is over. @return them, as Listing::Gone */
     TargetUpdate onTimer(TimePoint now);
     /** @return when onTimer() has to be called next; TimePoint::max() if no grace period is running */
