Reset arriving flows only on recent evidence of silence

Cause: a silent target stayed silent until this balancer or one of its zone saw progress, and every flow that arrived for it was reset at its first packet, however old the evidence was.

Change: flows are reset only if flows forwarded here showed the silence within the last second; otherwise they are forwarded, and two stuck flows confirm the silence as they did the first time. After a pause of the own process all evidence is discarded, since the packets that waited look like retransmissions.

--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -15,6 +15,8 @@
 constexpr Milliseconds ReportPeriod{ 150 };
 /** Balancers that get each report; limits the traffic in a large zone. */
 constexpr std::size_t ReportFanout = 4;
+/** Exceeds the timer delays of a small machine; callers' packets that waited longer were retransmitted meanwhile. */
+constexpr Milliseconds PauseLimit{ 700 };
 /** Interval of the traffic summaries, which show operators which balancer had the traffic. */
 constexpr std::chrono::seconds SummaryPeriod{ 5 };
 /** The placement of one in this many flows is logged. */
@@ -46,6 +48,7 @@
                  metrics_.timerDelays.add(now() - timerDue_);
                  onTimer();
              })
+    , pauseDetector_(loop_, PauseLimit, [this](Milliseconds) { router_.onPaused(now()); })
     , mailbox_(loop_, [this](PacketTaskMessage &&message) { handle(std::move(message)); })
 {
 }
@@ -53,6 +56,7 @@
 void PacketTask::start()
 {
     armTimer();
+    pauseDetector_.start();
     reportTimer_.armAfter(ReportPeriod);
     thread_.start(loop_, "packets");
 }
@@ -69,6 +73,7 @@
 
 void PacketTask::handle(PacketTaskMessage &&message)
 {
+    pauseDetector_.check();
     std::visit(Visitor{
                    [&](ServicesChanged &changed) { router_.setServices(std::move(changed.services)); },
                    [&](const TargetUpdate &update) {
@@ -97,6 +102,7 @@
         return;
     }
     const TimePoint time = now();
+    pauseDetector_.check(time);
     const PacketDecision decision = router_.onPacket(*packet, time);
     std::visit(Visitor{
                    [&](const ForwardPacket &forward) {
--- a/src/host/packettask.h
+++ b/src/host/packettask.h
@@ -7,6 +7,7 @@
 #include "link/packetcodec.h"
 #include "mailbox.h"
 #include "packetmetrics.h"
+#include "pausedetector.h"
 #include "service/flowrouter.h"
 #include "settings.h"
 #include "taskmessages.h"
@@ -80,6 +81,7 @@
     std::uint64_t summarizedPackets_ = 0; ///< packets forwarded before the last summary
     DatagramSocket socket_;
     LoopTimer timer_;
+    PauseDetector pauseDetector_;
     Mailbox<PacketTaskMessage> mailbox_;
     TaskThread thread_;
 };
--- a/src/host/pausedetector.h
+++ b/src/host/pausedetector.h
@@ -40,7 +40,10 @@
     /** Calls onPaused if the last check was too long ago. */
     void check()
     {
-        const TimePoint now = std::chrono::steady_clock::now();
+        check(std::chrono::steady_clock::now());
+    }
+    void check(TimePoint now)
+    {
         const auto gap = std::chrono::duration_cast<Milliseconds>(now - lastCheck_);
         if (gap > limit_) {
             lastCheck_ = now;
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -134,7 +134,6 @@
     if (!target) {
         return DropPacket{ DropReason::UnknownTag };
     }
-    const bool silent = targets_.at(*target).detector.liveness() == TargetLiveness::Silent;
     if (targets_.at(*target).listing == ListingState::Gone) {
         flows_.remove(packet.flow);
         return ResetFlow{ packet.flow, packet.acknowledged, ResetReason::TargetGone };
@@ -152,8 +151,10 @@
         // Opened through another balancer; the packet is no sign of progress at the target.
         flow->established = true;
     }
+    // The flows of a target that becomes silent with this packet are reset by resetFlowsOfFailedTargets().
+    const bool wasSilent = targets_.at(*target).detector.liveness() == TargetLiveness::Silent;
     observePacket(*flow, packet, now);
-    if (silent && targets_.at(*target).detector.liveness() == TargetLiveness::Silent && mayReset(*flow)) {
+    if (wasSilent && targets_.at(*target).detector.isSilentOnRecentEvidence(now) && mayReset(*flow)) {
         flows_.remove(packet.flow);
         return ResetFlow{ packet.flow, packet.acknowledged, ResetReason::TargetSilent };
     }
@@ -213,6 +214,13 @@
     }
 }
 
+void FlowRouter::onPaused(TimePoint now)
+{
+    for (const auto &[id, index] : targets_.byId()) {
+        targets_.at(index).detector.onPaused(now);
+    }
+}
+
 LoadReport FlowRouter::report(TimePoint now) const
 {
     LoadReport report;
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -117,6 +117,8 @@
     {
         return nextTimer_;
     }
+    /** Discards what waiting packets would seem to show about targets, after this balancer did not run for a while. */
+    void onPaused(TimePoint now);
     /** @return load and stuck flows of the targets that this balancer's flows use */
     LoadReport report(TimePoint now) const;
     /** Applies the report of another balancer of the zone. */
--- a/src/target/livenessdetector.cpp
+++ b/src/target/livenessdetector.cpp
@@ -13,6 +13,14 @@
     setLiveness(TargetLiveness::Answering, now);
 }
 
+void LivenessDetector::onPaused(TimePoint now)
+{
+    retransmissions_.clear();
+    peers_.clear();
+    silenceSeenAt_.reset();
+    pausedUntil_ = now;
+}
+
 void LivenessDetector::onProgress(TimePoint now)
 {
     retransmissions_.clear();
@@ -24,7 +32,7 @@
 {
     dropOldRetransmissions(now);
     // A packet sent before the last progress may have been lost on its way, so its wait counts from the progress on.
-    const TimePoint start = std::max(waitingSince, lastProgress_);
+    const TimePoint start = std::max({ waitingSince, lastProgress_, pausedUntil_ });
     const auto found = std::find_if(retransmissions_.begin(), retransmissions_.end(),
                                     [&](const Retransmission &retransmission) { return retransmission.flow == flow; });
     if (found == retransmissions_.end()) {
@@ -74,9 +82,11 @@
         [](const Retransmission &a, const Retransmission &b) { return a.waitingSince < b.waitingSince; });
     const std::uint32_t stuckHere = stuckFlows(now);
     const std::uint32_t stuckAtPeers = stuckFlowsAtPeers(now);
-    if (stuckHere > 0 && stuckHere + stuckAtPeers >= FlowsToDeclareSilent) {
+    const bool enoughFlows = isSilentOnRecentEvidence(now) || stuckHere + stuckAtPeers >= FlowsToDeclareSilent;
+    if (stuckHere > 0 && enoughFlows) {
         // Delays the first trial until TrialPeriod after the last retransmission.
         lastTrial_ = now;
+        silenceSeenAt_ = now;
         setLiveness(TargetLiveness::Silent, now);
     } else if (liveness_ == TargetLiveness::Answering && retransmissions_.size() + stuckAtPeers >= FlowsToSuspect
                && now - oldest->waitingSince >= SuspectAfter) {
--- a/src/target/livenessdetector.h
+++ b/src/target/livenessdetector.h
@@ -5,6 +5,7 @@
 #include "poplarroad/enumnames.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace poplarroad
@@ -46,7 +47,7 @@
     static constexpr Milliseconds StuckAfter{ 550 };
     /** Retransmitting flows that make a target suspected; one alone may have lost a packet or sent a long request. */
     static constexpr std::uint32_t FlowsToSuspect = 2;
-    /** Stuck flows, here and at other balancers, that make a target silent. */
+    /** Stuck flows, here and at other balancers, that make a target silent, or confirm an old silence. */
     static constexpr std::uint32_t FlowsToDeclareSilent = 2;
     /**
      * Older retransmissions are discarded: the next one would have come within 800 ms, unless the flow has ended or its
@@ -58,6 +59,11 @@
 
     /** Discards all observations, for a new instance of the target or one that is listed again. */
     void reset(TimePoint now);
+    /**
+     * Discards the evidence of silence after this balancer was paused. Packets that waited for it meanwhile say nothing
+     * about the target: they look like retransmissions, and their answers were not forwarded either.
+     */
+    void onPaused(TimePoint now);
     /** Records that the acknowledgement number of a caller advanced or a handshake was completed. */
     void onProgress(TimePoint now);
     /**
@@ -89,6 +95,16 @@
     {
         return liveness_;
     }
+    /**
+     * Evidence of silence ages: the target may have answered since, through a path that this balancer does not see.
+     * Targets stay Silent without recent evidence, which only keeps new flows away.
+     *
+     * @return whether the target is silent and flows that this balancer forwards showed it lately
+     */
+    bool isSilentOnRecentEvidence(TimePoint now) const
+    {
+        return liveness_ == TargetLiveness::Silent && silenceSeenAt_ && now - *silenceSeenAt_ <= MaxRetransmissionAge;
+    }
     /** @return when the liveness last changed */
     TimePoint livenessSince() const
     {
@@ -99,7 +115,7 @@
     struct Retransmission
     {
         std::uint64_t flow = 0;
-        TimePoint waitingSince; ///< first transmission, or the last progress if that is later
+        TimePoint waitingSince; ///< first transmission; the last progress or the end of the last pause if that is later
         TimePoint at; ///< last retransmission
     };
 
@@ -122,6 +138,8 @@
     TimePoint livenessSince_;
     TimePoint lastProgress_;
     TimePoint lastTrial_;
+    TimePoint pausedUntil_; ///< end of the last pause of this balancer
+    std::optional<TimePoint> silenceSeenAt_; ///< when flows forwarded here last showed silence
     std::vector<Retransmission> retransmissions_; ///< one for each flow that retransmitted since the last progress
     std::vector<PeerReport> peers_; ///< latest report of each peer
 };
