--- a/include/poplarroad/fleetmessages.h
+++ b/include/poplarroad/fleetmessages.h
@@ -30,7 +30,8 @@
     std::uint64_t serviceVersion = 0;
     Revision targets; ///< of the last change to the target list
     std::uint32_t contactAgeMs = 0; ///< time since the store last answered the follower
-    bool relayed = false; ///< forwarded within a zone by a balancer that received it from another zone
+    bool relayed = false; ///< passed on by a balancer that received it
+    std::uint64_t targetsDigest = 0; ///< of the whole target list; equal lists have equal digests
 
     friend bool operator==(const DirectoryBeacon &, const DirectoryBeacon &) = default;
 };
@@ -40,6 +41,7 @@
 {
     std::uint64_t serviceVersion = 0;
     Revision targets;
+    bool changesOnly = false; ///< a complete list is not wanted, since the sender has a recent one
 
     friend bool operator==(const DirectoryRequest &, const DirectoryRequest &) = default;
 };
@@ -83,6 +85,13 @@
 /** Messages between balancers about services and targets. */
 using FleetMessage = std::variant<DirectoryBeacon, DirectoryRequest, DirectoryContent, ZoneIntroduction, LoadReport>;
 
+/** Send to other balancers, as a datagram if it fits, otherwise over their connections. */
+struct SendFleetMessage
+{
+    std::vector<HostAddress> hosts;
+    FleetMessage message;
+};
+
 } // namespace poplarroad
 
 #endif
--- a/include/poplarroad/host.h
+++ b/include/poplarroad/host.h
@@ -73,6 +73,8 @@
     std::uint64_t epoch = 0;
     /** Increased by the member itself, within one epoch, to refute a suspicion or another outdated state. */
     std::uint32_t version = 0;
+    /** Processor time of the host, in thousandths of a core; hosts with more of it do more of the common work. */
+    std::uint16_t rank = 0;
 
     friend bool operator==(const HostRecord &, const HostRecord &) = default;
 };
--- a/include/poplarroad/membership.h
+++ b/include/poplarroad/membership.h
@@ -133,9 +133,10 @@
      * @param seed for the random order of probes, so that a run can be reproduced
      * @param epoch larger than that of earlier processes at the address, for example the wall-clock start time;
      *              increased if a peer knows a larger one
+     * @param rank see HostRecord::rank
      */
     Membership(PeerIdentity self, std::vector<HostAddress> seeds, MembershipTiming timing, std::uint64_t seed,
-               std::uint64_t epoch = 0);
+               std::uint64_t epoch = 0, std::uint16_t rank = 0);
     ~Membership();
     Membership(const Membership &) = delete;
     Membership &operator=(const Membership &) = delete;
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -163,6 +163,7 @@
   incarnation @3 :UInt64;
   epoch @4 :UInt64;
   version @5 :UInt32;
+  rank @6 :UInt16;
 }
 
 struct Probe {
@@ -221,11 +222,13 @@
   serviceVersion @4 :UInt64;
   targets @5 :UInt64;
   contactAgeMs @6 :UInt32;
+  targetsDigest @7 :UInt64;
 }
 
 struct DirectoryRequest {
   serviceVersion @0 :UInt64;
   targets @1 :UInt64;
+  changesOnly @2 :Bool;
 }
 
 struct WeightedService {
--- a/src/host/eventlog.h
+++ b/src/host/eventlog.h
@@ -25,6 +25,7 @@
     Paused, ///< the event loop did not run for some time
     StoreLost, ///< calls to the store fail
     StoreRecovered,
+    StoreRead, ///< this balancer reads a part of the directory completely
     FollowingChanged, ///< this balancer starts to follow the store, or leaves that to another one
     ServicesChanged,
     EntryRefused, ///< an entry of the store cannot be used
@@ -48,6 +49,7 @@
         EnumName<LogEvent>{ LogEvent::Paused, "paused" },
         EnumName<LogEvent>{ LogEvent::StoreLost, "store-lost" },
         EnumName<LogEvent>{ LogEvent::StoreRecovered, "store-regained" },
+        EnumName<LogEvent>{ LogEvent::StoreRead, "store-read" },
         EnumName<LogEvent>{ LogEvent::FollowingChanged, "follow-store" },
         EnumName<LogEvent>{ LogEvent::ServicesChanged, "services-in-force" },
         EnumName<LogEvent>{ LogEvent::EntryRefused, "entry-refused" },
--- a/src/host/packethost.cpp
+++ b/src/host/packethost.cpp
@@ -81,6 +81,7 @@
 {
     ready_ = false;
     directory_.post(BeginLeave{});
+    peers_.post(BeginLeave{});
     log_.write(LogEvent::Stop, std::chrono::steady_clock::now(), { { "drain_ms", settings_.drainTime.count() } });
     std::this_thread::sleep_for(settings_.drainTime);
     stop();
--- a/src/host/packetmetrics.h
+++ b/src/host/packetmetrics.h
@@ -4,6 +4,7 @@
 #include "base/metrics.h"
 #include "link/directorysource.h"
 #include "poplarroad/packet.h"
+#include "service/directorywatcher.h"
 #include "service/flowrouter.h"
 
 namespace poplarroad
@@ -24,6 +25,7 @@
 struct DirectoryMetrics
 {
     ReasonCounter<StoreError> storeErrors;
+    ReasonCounter<StoreCallReason> storeCallReasons; ///< calls made; a read of a long list counts once
     ReasonCounter<EntryError> refusedEntries; ///< entries of the store that were not used, each time they were read
     LatencyHistogram storeCalls; ///< from call to answer, including the wait of a watch
     Gauge servicesVersion; ///< current version
@@ -41,6 +43,7 @@
     writer.gauge("flows", packets.flows.value());
     writer.gauge<TargetLiveness>("targets", "belief", packets.targets);
     writer.counter("store_errors", directory.storeErrors);
+    writer.counter("store_calls_by_reason", directory.storeCallReasons);
     writer.counter("entries_refused", directory.refusedEntries);
     writer.histogram("store_call_seconds", directory.storeCalls);
     writer.gauge("services_version", directory.servicesVersion.value());
--- a/src/host/peertask.cpp
+++ b/src/host/peertask.cpp
@@ -50,7 +50,7 @@
     , signer_(KeyRing(settings.keys), self_)
     , datagramAuthenticator_(KeyRing(settings.keys), self_)
     , frameAuthenticator_(KeyRing(settings.keys), self_)
-    , membership_(self_, settings.seeds, timing_, std::random_device()(), wallClockMs())
+    , membership_(self_, settings.seeds, timing_, std::random_device()(), wallClockMs(), settings.rank())
     , udp_(loop_, settings.peers, [this](const HostAddress &, std::string_view bytes) { onDatagram(bytes); })
     , listener_(loop_, settings.peers, [this](evutil_socket_t socket, const HostAddress &) { onAccept(socket); })
     , timer_(loop_,
--- a/src/host/settings.h
+++ b/src/host/settings.h
@@ -6,6 +6,8 @@
 #include "poplarroad/host.h"
 #include "poplarroad/tokencodec.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -69,6 +71,13 @@
     double linkMbps = 1000.0; ///< packets: bandwidth of this host's link, in Mbit/s
     std::string readinessPath; ///< packets: returns 200 at the metrics address while the daemon accepts new work
     Milliseconds drainTime{ 2500 }; ///< packets: from the stop signal to the exit
+
+    /** @return see HostRecord::rank */
+    std::uint16_t rank() const
+    {
+        constexpr double stepsPerCore = 1000.0;
+        return static_cast<std::uint16_t>(std::min<double>(processorShare * stepsPerCore, UINT16_MAX));
+    }
 };
 
 /** Why settings were rejected. */
--- a/src/host/taskmessages.h
+++ b/src/host/taskmessages.h
@@ -152,13 +152,6 @@
     PeerConfigMessage message;
 };
 
-/** Send to other balancers, as a datagram if it fits, otherwise over their connections. */
-struct SendFleetMessage
-{
-    std::vector<HostAddress> hosts;
-    FleetMessage message;
-};
-
 /** A message from another balancer about services and targets. */
 struct FleetMessageReceived
 {
--- a/src/link/directorysource.h
+++ b/src/link/directorysource.h
@@ -57,6 +57,12 @@
     std::vector<RefusedEntry> refused; ///< listed entries that are not used; a known target among them stays as it is
 };
 
+/** How current the result of a read has to be. */
+enum class ReadFreshness : std::uint8_t {
+    Current,
+    MayBeStale, ///< as of some seconds ago; costs the store much less
+};
+
 /** Where services and targets are published; an interface, so that tests can replace the platform. */
 class DirectorySource
 {
@@ -65,12 +71,12 @@
 
     virtual ~DirectorySource() = default;
     /** Reads one whole part. The callback is called later, exactly once, in the thread of the owner. */
-    virtual void read(DirectoryPart part, Callback callback) = 0;
+    virtual void read(DirectoryPart part, ReadFreshness freshness, Callback callback) = 0;
     /**
      * Waits for changes of one part.
      *
      * @param after revision up to which all changes are known already
-     * @param wait how long the store delays its response while there are no changes
+     * @param wait how long the store delays its response while there are no changes; 0 asks for those made so far
      * @param callback gets the changes, none after a timeout; NotFound when the store no longer has the history
      */
     virtual void watch(DirectoryPart part, Revision after, Milliseconds wait, Callback callback) = 0;
--- a/src/link/wirefleet.cpp
+++ b/src/link/wirefleet.cpp
@@ -133,6 +133,7 @@
     to.setServiceVersion(beacon.serviceVersion);
     to.setTargets(beacon.targets.value);
     to.setContactAgeMs(beacon.contactAgeMs);
+    to.setTargetsDigest(beacon.targetsDigest);
 }
 
 DirectoryBeacon readBeacon(schema::DirectoryBeacon::Reader from)
@@ -142,7 +143,8 @@
              from.getServiceVersion(),
              Revision{ from.getTargets() },
              from.getContactAgeMs(),
-             from.getRelayed() };
+             from.getRelayed(),
+             from.getTargetsDigest() };
 }
 
 void writeContent(schema::DirectoryContent::Builder to, const DirectoryContent &content)
@@ -221,7 +223,8 @@
         return readBeacon(envelope.getDirectoryBeacon());
     case schema::Envelope::DIRECTORY_REQUEST:
         return DirectoryRequest{ envelope.getDirectoryRequest().getServiceVersion(),
-                                 Revision{ envelope.getDirectoryRequest().getTargets() } };
+                                 Revision{ envelope.getDirectoryRequest().getTargets() },
+                                 envelope.getDirectoryRequest().getChangesOnly() };
     case schema::Envelope::DIRECTORY_CONTENT:
         return readContent(envelope.getDirectoryContent());
     case schema::Envelope::ZONE_INTRODUCTION:
@@ -244,6 +247,7 @@
                            auto to = envelope.initDirectoryRequest();
                            to.setServiceVersion(request.serviceVersion);
                            to.setTargets(request.targets.value);
+                           to.setChangesOnly(request.changesOnly);
                        },
                        [&](const DirectoryContent &content) { writeContent(envelope.initDirectoryContent(), content); },
                        [&](const ZoneIntroduction &introduction) { writeIntroduction(envelope, introduction); },
--- a/src/link/wirepeer.cpp
+++ b/src/link/wirepeer.cpp
@@ -21,6 +21,7 @@
         updates[i].setEpoch(host.epoch);
         updates[i].setVersion(host.version);
         updates[i].setState(static_cast<std::uint8_t>(host.state));
+        updates[i].setRank(host.rank);
     }
 }
 
@@ -37,6 +38,7 @@
         host.epoch = member.getEpoch();
         host.version = member.getVersion();
         host.state = wire::checkedEnum<HostState>(member.getState());
+        host.rank = member.getRank();
         probe.updates.push_back({ host });
     }
     return probe;
--- a/src/service/contentqueue.cpp
+++ b/src/service/contentqueue.cpp
@@ -15,11 +15,12 @@
     }
     queued->serviceVersion = std::min(queued->serviceVersion, content.serviceVersion);
     queued->targets = std::min(queued->targets, content.targets);
+    queued->servicesOnly = queued->servicesOnly && content.servicesOnly;
 }
 
 std::optional<PendingContent> ContentQueue::take(TimePoint now)
 {
-    if (pending_.empty() || now < nextSendAt_) {
+    if (pending_.empty() || now < nextSendAt_ - Burst) {
         return std::nullopt;
     }
     const PendingContent content = pending_.front();
--- a/src/service/contentqueue.h
+++ b/src/service/contentqueue.h
@@ -18,6 +18,13 @@
     HostAddress host;
     std::uint64_t serviceVersion = 0;
     Revision targets; ///< revision of its target list
+    bool servicesOnly = false; ///< it has a recent target list, to which no changes are known here
+
+    /** @return whether both lack the same content */
+    bool lacksSameAs(const PendingContent &other) const
+    {
+        return serviceVersion == other.serviceVersion && targets == other.targets && servicesOnly == other.servicesOnly;
+    }
 };
 
 /**
@@ -28,6 +35,9 @@
 class ContentQueue
 {
 public:
+    /** Content for this much time may be sent at once, so that balancers that lack the same share one message. */
+    static constexpr Milliseconds Burst{ 20 };
+
     /** @param bytesPerSecond bandwidth that content may use, in bytes per second */
     explicit ContentQueue(double bytesPerSecond)
         : bytesPerSecond_(bytesPerSecond)
@@ -43,7 +53,7 @@
     /** @return when take() can return a balancer next; TimePoint::max() if the queue is empty */
     TimePoint nextTimer() const
     {
-        return pending_.empty() ? TimePoint::max() : nextSendAt_;
+        return pending_.empty() ? TimePoint::max() : nextSendAt_ - Burst;
     }
 
 private:
--- a/src/service/directoryelection.h
+++ b/src/service/directoryelection.h
@@ -15,14 +15,17 @@
     std::uint64_t serviceVersion = 0;
     Revision targets; ///< revision of the last change of the target list
     std::optional<TimePoint> lastContact; ///< when the store last answered this balancer; unset if it never did
+    std::uint64_t targetsDigest = 0; ///< see DirectoryBeacon::targetsDigest
 };
 
 /**
  * Elects the balancers that follow the store, which means that they watch it for changes of the directory.
  *
- * Followers send beacons. A balancer that receives the beacon of a higher-ranked follower with recent contact to the
- * store stops following and gets the content from that peer. No consensus is needed: several followers only cost
- * additional calls, and if beacons stop, other balancers start to follow.
+ * Followers send beacons. While a balancer receives the beacons of a follower with recent contact to the store, it does
+ * not follow and gets the content from its peers. When the beacons stop, or their sender loses the store, the balancers
+ * of each zone take over in the order of their rank, one after the other, until one of them has contact. The calls to
+ * the store after a loss therefore depend on the number of zones, not on the number of balancers. No consensus is
+ * needed: several followers only cost additional calls, and of two with contact the one with the higher rank continues.
  */
 class DirectoryElection
 {
@@ -33,56 +36,89 @@
     static constexpr Milliseconds BeaconTimeout{ 1000 };
     /** A follower whose last answer from the store is older may have lost the store. */
     static constexpr Milliseconds MaxContactAge{ 1600 };
-    /** Time after which content that a peer has not sent is requested again. */
-    static constexpr Milliseconds RequestTimeout{ 200 };
-    /** How long a starting balancer asks its peers for their content, which the store may have lost for the moment. */
-    static constexpr Milliseconds StartupQueryTime{ 2000 };
-    /** How long a balancer may stay behind its peers before it reads the store itself. */
-    static constexpr Milliseconds StoreFallbackDelay{ 500 };
+    /** Time from one balancer of the succession to the next; allows for a call to the store and a beacon. */
+    static constexpr Milliseconds SuccessionStep{ 300 };
+    /** How long a balancer that starts waits for beacons. */
+    static constexpr Milliseconds StartupDelay{ 400 };
+    /** Delay in place of the position's while the others of the zone are not known yet; longer than joining it takes. */
+    static constexpr Milliseconds UnjoinedDelay{ 1200 };
 
     /** @param rank of several balancers the one with the highest rank follows; equal ranks are ordered by address */
-    DirectoryElection(const HostAddress &self, std::uint64_t rank);
+    DirectoryElection(const HostAddress &self, std::uint64_t rank, TimePoint startedAt);
 
-    /** What to do after a beacon. */
-    struct Reaction
-    {
-        std::optional<DirectoryRequest> request; ///< to be sent to the sender of the beacon
-        bool readStore = false; ///< read the store, since the peers did not send the content in time
-    };
-    Reaction onBeacon(const DirectoryBeacon &beacon, const DirectoryState &state, TimePoint now);
+    /**
+     * Sets the balancers of the own zone, which determine this balancer's position in the succession.
+     *
+     * @param members not called before this balancer has joined its zone
+     */
+    void setMembers(const std::vector<HostRecord> &members);
+    void onBeacon(const DirectoryBeacon &beacon, TimePoint now);
+    /**
+     * Decides whether this balancer follows.
+     *
+     * @param lastContact when the store last answered this balancer
+     * @param mayFollow false while this balancer leaves
+     * @return whether the result of follows() changed
+     */
+    bool update(std::optional<TimePoint> lastContact, bool mayFollow, TimePoint now);
     /** @return whether this balancer has to follow the store */
-    bool follows(TimePoint now) const;
+    bool follows() const
+    {
+        return follows_;
+    }
+    /** @return number of balancers of the zone that take over before this one */
+    std::size_t position() const
+    {
+        return position_.value_or(0);
+    }
     /**
      * Beacons are sent without contact to the store too, so that balancers can still learn from each other when none of
      * them reaches the store.
      *
-     * @return the beacon to send now, if one is due
+     * @return the beacon to send now, if this balancer follows and one is due
      */
     std::optional<DirectoryBeacon> beacon(const DirectoryState &state, TimePoint now);
-    /** @return when the result of follows() or beacon() can change */
+    /** @return the beacon of the follower that this balancer knows, which may be itself, to be passed on; or nothing */
+    std::optional<DirectoryBeacon> knownBeacon(const DirectoryState &state, TimePoint now) const;
+    /** @return a beacon that announces that this balancer no longer follows, so that another one takes over at once */
+    DirectoryBeacon farewell(const DirectoryState &state) const;
+    /** @return when the result of update() or beacon() can change */
     TimePoint nextTimer(TimePoint now) const;
 
 private:
     /** A beacon that another balancer sent. */
     struct HeardBeacon
     {
-        std::uint64_t rank = 0;
-        HostAddress follower;
+        DirectoryBeacon beacon;
         TimePoint receivedAt;
         TimePoint lastContact; ///< when the store last answered the sender
     };
 
-    bool isFresh(const HeardBeacon &heard, TimePoint now) const
+    DirectoryBeacon ownBeacon(const DirectoryState &state, TimePoint now) const;
+    static bool isFresh(const HeardBeacon &heard, TimePoint now)
     {
         return now - heard.receivedAt < BeaconTimeout && now - heard.lastContact < MaxContactAge;
     }
+    bool hasFreshFollower(TimePoint now) const
+    {
+        return bestFollower_ && isFresh(*bestFollower_, now);
+    }
+    Milliseconds successionDelay() const
+    {
+        return position_ ? SuccessionStep * static_cast<std::int64_t>(*position_) : UnjoinedDelay;
+    }
+    /** @return whether the sender of the first beacon is preferred to that of the second */
+    static bool isBetter(const DirectoryBeacon &beacon, std::uint64_t rank, const HostAddress &host);
 
     HostAddress self_;
     std::uint64_t rank_;
+    std::optional<std::size_t> position_; ///< unknown before this balancer has joined its zone
+    bool follows_ = false;
+    bool mayFollow_ = true;
+    bool announcedContact_ = false; ///< whether the last beacon told of recent contact
     std::optional<HeardBeacon> bestFollower_; ///< from the highest-ranked follower with recent contact
+    std::optional<TimePoint> vacantSince_; ///< since when no follower with recent contact was heard
     TimePoint nextBeacon_;
-    std::optional<TimePoint> behindSince_; ///< since when beacons show newer content
-    TimePoint nextRequest_; ///< no request to a peer before it
 };
 
 } // namespace poplarroad
--- /dev/null
+++ b/src/service/directorysync.cpp
@@ -0,0 +1,183 @@
+#include "service/directorysync.h"
+
+#include "poplarroad/visitor.h"
+
+#include <algorithm>
+
+namespace poplarroad
+{
+
+DirectorySync::DirectorySync(DirectoryIdentity identity, std::uint64_t seed, TimePoint startedAt)
+    : identity_(std::move(identity))
+    , random_(seed)
+    , startedAt_(startedAt)
+    , nextRequestAt_(startedAt + FirstRequestDelay)
+    , nextTimer_(startedAt)
+    // Routes that were withdrawn must not come back with a stale list; the changes of the targets follow from peers.
+    , watchers_{ DirectoryWatcher(ServicesWatchTime, ReadFreshness::Current, random_.next()),
+                 DirectoryWatcher(TargetsWatchTime, ReadFreshness::MayBeStale, random_.next()) }
+    , election_(identity_.self, identity_.rank, startedAt)
+    , changeQueue_(identity_.contentBytesPerSecond)
+    , completeListQueue_(identity_.contentBytesPerSecond)
+{
+}
+
+void DirectorySync::setView(std::shared_ptr<const FleetView> view)
+{
+    view_ = std::move(view);
+    if (view_->joined) {
+        election_.setMembers(view_->hosts);
+    }
+}
+
+void DirectorySync::onTimer(TimePoint now, DirectoryActions &actions)
+{
+    runDueWork(now, actions);
+}
+
+void DirectorySync::runDueWork(TimePoint now, DirectoryActions &actions)
+{
+    publish(targets_.onTimer(now), actions);
+    updateFollowing(now, actions);
+    checkReady(now, actions);
+    sendBeacon(now, actions);
+    requestFromPeers(now, actions);
+    sendQueued(changeQueue_, now, actions);
+    sendQueued(completeListQueue_, now, actions);
+    nextTimer_ = std::min({ targets_.nextTimer(), election_.nextTimer(now), nextRequestAt_, changeQueue_.nextTimer(),
+                            completeListQueue_.nextTimer() });
+    if (contentSince_ && !ready_) {
+        nextTimer_ = std::min(nextTimer_, *contentSince_ + ConfirmationTimeout);
+    }
+    callStore(now, actions);
+}
+
+void DirectorySync::updateFollowing(TimePoint now, DirectoryActions &actions)
+{
+    if (election_.update(state().lastContact, !leaving_, now)) {
+        actions.emplace_back(FollowingChange{ election_.follows(), election_.position() });
+    }
+    for (DirectoryWatcher &watcher : watchers_) {
+        watcher.setFollowing(election_.follows(), now);
+    }
+}
+
+void DirectorySync::callStore(TimePoint now, DirectoryActions &actions)
+{
+    for (const auto &[part, name] : EnumNames<DirectoryPart>::table) {
+        if (isHeldBack(part)) {
+            continue;
+        }
+        if (const auto due = watcherOf(part).next(now)) {
+            actions.emplace_back(CallStore{ part, *due });
+        }
+        nextTimer_ = std::min(nextTimer_, watcherOf(part).nextTimer());
+    }
+}
+
+bool DirectorySync::isHeldBack(DirectoryPart part) const
+{
+    // While the store does not answer, only the short read of the services finds out when it does again.
+    return part == DirectoryPart::Targets && storeLost_ && election_.follows();
+}
+
+void DirectorySync::onStoreAnswer(DirectoryPart part, std::uint64_t number, DirectoryResult answer, TimePoint now,
+                                  DirectoryActions &actions)
+{
+    storeLost_ = answer.error && *answer.error != StoreError::NotFound;
+    if (watcherOf(part).onAnswer(number, answer, now)) {
+        const PendingContent before{ {}, services_ ? services_->version : 0, targets_.revision() };
+        bool changed = answer.services && applyServices(answer.services, actions);
+        if (part == DirectoryPart::Targets) {
+            std::vector<TargetId> unreadable;
+            for (const RefusedEntry &entry : answer.refused) {
+                if (entry.target) {
+                    unreadable.push_back(*entry.target);
+                }
+            }
+            const TargetUpdate update{ answer.revision, answer.complete, std::move(answer.targets) };
+            changed = applyTargets(update, unreadable, now, actions) || changed;
+        }
+        if (changed && election_.follows() && before.serviceVersion != 0 && before.targets.value != 0) {
+            queueContent(membersAndGateways(), before);
+        }
+    }
+    runDueWork(now, actions);
+}
+
+bool DirectorySync::applyServices(const ServiceMapPtr &services, DirectoryActions &actions)
+{
+    // The version never decreases while the process runs.
+    if (services_ && services->version <= services_->version) {
+        return false;
+    }
+    services_ = withKnownRoutes(services_, services);
+    actions.emplace_back(PublishServices{ services_ });
+    return true;
+}
+
+bool DirectorySync::applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable, TimePoint now,
+                                 DirectoryActions &actions)
+{
+    TargetUpdate applied = targets_.apply(update, now, unreadable);
+    const bool changed = !applied.changes.empty();
+    publish(std::move(applied), actions);
+    return changed;
+}
+
+void DirectorySync::publish(TargetUpdate update, DirectoryActions &actions)
+{
+    if (!update.changes.empty() || update.complete) {
+        actions.emplace_back(PublishTargets{ std::move(update) });
+    }
+}
+
+void DirectorySync::checkReady(TimePoint now, DirectoryActions &actions)
+{
+    if (ready_ || !hasContent()) {
+        return;
+    }
+    if (!contentSince_) {
+        contentSince_ = now;
+        nextRequestAt_ = now;
+        for (DirectoryWatcher &watcher : watchers_) {
+            watcher.skipStart();
+        }
+    }
+    confirmed_ = confirmed_ || std::all_of(watchers_.begin(), watchers_.end(), [](const DirectoryWatcher &watcher) {
+                     return watcher.currentAt().has_value();
+                 });
+    if (confirmed_ || now >= *contentSince_ + ConfirmationTimeout) {
+        ready_ = true;
+        actions.emplace_back(DirectoryReady{ confirmed_ });
+    }
+}
+
+void DirectorySync::beginLeave(TimePoint now, DirectoryActions &actions)
+{
+    const bool followed = election_.follows();
+    leaving_ = true;
+    if (followed) {
+        actions.emplace_back(SendFleetMessage{ membersAndGateways(), election_.farewell(state()) });
+    }
+    runDueWork(now, actions);
+}
+
+void DirectorySync::onPaused(TimePoint now, DirectoryActions &actions)
+{
+    for (DirectoryWatcher &watcher : watchers_) {
+        watcher.restart(now);
+    }
+    runDueWork(now, actions);
+}
+
+DirectoryState DirectorySync::state() const
+{
+    std::optional<TimePoint> contact;
+    for (const DirectoryWatcher &watcher : watchers_) {
+        contact = std::max(contact, watcher.lastContact());
+    }
+    return { services_ ? services_->version : 0, targets_.lastChange(), contact, targets_.digest() };
+}
+
+} // namespace poplarroad
--- /dev/null
+++ b/src/service/directorysync.h
@@ -0,0 +1,223 @@
+#ifndef POPLARROAD_SERVICE_DIRECTORYSYNC_H
+#define POPLARROAD_SERVICE_DIRECTORYSYNC_H
+
+#include "poplarroad/fleetmessages.h"
+#include "service/contentqueue.h"
+#include "service/directoryelection.h"
+#include "service/directorywatcher.h"
+#include "service/targetreplica.h"
+#include "zone/seededrandom.h"
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace poplarroad
+{
+
+/** What a balancer knows of itself and others before it hears anything. */
+struct DirectoryIdentity
+{
+    HostAddress self;
+    ZoneId zone;
+    std::uint16_t rank = 0; ///< see HostRecord::rank
+    std::vector<HostAddress> seeds;
+    double contentBytesPerSecond = 0.0; ///< rate limit of changes, and separately of complete lists
+};
+
+/** Make a call to the store; its answer goes to DirectorySync::onStoreAnswer(). */
+struct CallStore
+{
+    DirectoryPart part = DirectoryPart::Services;
+    DirectoryWatcher::DueCall due;
+};
+
+/** Services that replace the current ones. */
+struct PublishServices
+{
+    ServiceMapPtr services;
+};
+
+/** Changes of the target list for its readers. */
+struct PublishTargets
+{
+    TargetUpdate update;
+};
+
+/** Balancers that the membership may not know yet. */
+struct AddPeers
+{
+    std::vector<HostAddress> hosts;
+};
+
+/** This balancer starts or stops following the store. */
+struct FollowingChange
+{
+    bool follows = false;
+    std::size_t position = 0; ///< in the succession of its zone
+};
+
+/** The services and targets are known and confirmed; happens once. */
+struct DirectoryReady
+{
+    bool confirmed = false; ///< false if neither the store nor a peer confirmed them in time
+};
+
+using DirectoryAction = std::variant<CallStore, SendFleetMessage, PublishServices, PublishTargets, AddPeers,
+                                     FollowingChange, DirectoryReady>;
+using DirectoryActions = std::vector<DirectoryAction>;
+
+/**
+ * Keeps this balancer's copy of the directory current: decides which calls to the store and which messages to other
+ * balancers are needed.
+ *
+ * Elected balancers watch the store and send the changes to the others (see DirectoryElection). A balancer that starts
+ * reads a list that may be some seconds old, which is cheap for the store, and asks other balancers for the changes
+ * since; it is ready when a peer or the store has confirmed its list. Does no I/O; owned by one task.
+ */
+class DirectorySync
+{
+public:
+    /** The end of each watch shows that the store still answers; below the 3 s in which a change has to take effect. */
+    static constexpr Milliseconds ServicesWatchTime{ 1000 };
+    /** Below the 3 s for which a target may still be used after its entry changes to draining. */
+    static constexpr Milliseconds TargetsWatchTime{ 2000 };
+    /** Time after which content that a peer has not sent is requested again. */
+    static constexpr Milliseconds RequestTimeout{ 200 };
+    /** Time for the store to answer a starting balancer, which then need not request complete lists from peers. */
+    static constexpr Milliseconds FirstRequestDelay{ 150 };
+    /** How long a balancer with a list waits for its confirmation before it is ready without. */
+    static constexpr Milliseconds ConfirmationTimeout{ 1000 };
+    /** How long a starting balancer asks its peers for others of its zone. */
+    static constexpr Milliseconds StartupQueryTime{ 2000 };
+    /** How long a balancer may stay behind its peers before it asks the store; a random part spreads these calls. */
+    static constexpr Milliseconds StoreFallbackDelay{ 700 };
+    static constexpr Milliseconds StoreFallbackSpread{ 600 };
+    /** Interval at which a balancer that is alone in its zone looks for others. */
+    static constexpr Milliseconds PeerSearchPeriod{ 5000 };
+    /** Number of balancers that get a message for which one receiver would be enough. */
+    static constexpr std::size_t MessageFanout = 3;
+
+    /** @param seed for random choices, so that a run can be reproduced */
+    DirectorySync(DirectoryIdentity identity, std::uint64_t seed, TimePoint startedAt);
+
+    void setView(std::shared_ptr<const FleetView> view);
+    void onStoreAnswer(DirectoryPart part, std::uint64_t number, DirectoryResult answer, TimePoint now,
+                       DirectoryActions &actions);
+    /** @param zone the sender's zone */
+    void onMessage(const HostAddress &from, ZoneId zone, const FleetMessage &message, TimePoint now,
+                   DirectoryActions &actions);
+    /** Hands the store over to another balancer. */
+    void beginLeave(TimePoint now, DirectoryActions &actions);
+    /** Assumes that calls in progress will not be answered, after this balancer did not run for a while. */
+    void onPaused(TimePoint now, DirectoryActions &actions);
+    /** Does everything that is due; to be called at nextTimer(). */
+    void onTimer(TimePoint now, DirectoryActions &actions);
+    TimePoint nextTimer() const
+    {
+        return nextTimer_;
+    }
+    bool follows() const
+    {
+        return election_.follows();
+    }
+    /** @return see DirectoryElection::position() */
+    std::size_t position() const
+    {
+        return election_.position();
+    }
+    bool ready() const
+    {
+        return ready_;
+    }
+    const ServiceMapPtr &services() const
+    {
+        return services_;
+    }
+    const TargetReplica &targets() const
+    {
+        return targets_;
+    }
+
+private:
+    /** Since when beacons show newer content than this balancer has, for each part. */
+    struct Lag
+    {
+        std::optional<TimePoint> since;
+        TimePoint fallbackAt; ///< when the store is asked
+    };
+
+    // directorysync.cpp
+    void runDueWork(TimePoint now, DirectoryActions &actions);
+    void updateFollowing(TimePoint now, DirectoryActions &actions);
+    /** Makes the due calls and moves nextTimer_ to the next ones. */
+    void callStore(TimePoint now, DirectoryActions &actions);
+    bool isHeldBack(DirectoryPart part) const;
+    bool applyServices(const ServiceMapPtr &services, DirectoryActions &actions);
+    bool applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable, TimePoint now,
+                      DirectoryActions &actions);
+    static void publish(TargetUpdate update, DirectoryActions &actions);
+    void checkReady(TimePoint now, DirectoryActions &actions);
+    bool hasContent() const
+    {
+        return services_ && targets_.revision().value != 0;
+    }
+    DirectoryState state() const;
+
+    // directorysyncpeers.cpp
+    void onRequest(const HostAddress &from, ZoneId zone, const DirectoryRequest &request, TimePoint now,
+                   DirectoryActions &actions);
+    /** Replies to a request from another zone with the gateways and the earlier requesters of that zone. */
+    void sendIntroduction(const HostAddress &to, ZoneId zone, DirectoryActions &actions);
+    void onBeacon(const HostAddress &from, ZoneId zone, const DirectoryBeacon &beacon, TimePoint now,
+                  DirectoryActions &actions);
+    /** Requests what a beacon shows to be newer from its sender. */
+    void requestNewer(const HostAddress &from, const DirectoryBeacon &beacon, TimePoint now, DirectoryActions &actions);
+    void onContent(ZoneId zone, const DirectoryContent &content, TimePoint now, DirectoryActions &actions);
+    void sendBeacon(TimePoint now, DirectoryActions &actions);
+    /** Requests content, its confirmation, or an introduction to others of the zone, as far as this is still needed. */
+    void requestFromPeers(TimePoint now, DirectoryActions &actions);
+    /** Queues for each of the hosts the content that is newer than the given versions. */
+    void queueContent(const std::vector<HostAddress> &hosts, const PendingContent &known);
+    /** Sends content from the queue as far as its rate limit allows. */
+    void sendQueued(ContentQueue &queue, TimePoint now, DirectoryActions &actions);
+    DirectoryContent contentFor(const PendingContent &known) const;
+    std::vector<HostAddress> zoneMembers() const;
+    /** @return the other balancers of the zone, then the gateways of the other zones */
+    std::vector<HostAddress> membersAndGateways() const;
+    /** @return some balancers to ask: of the own zone if any is known, else gateways and seeds */
+    std::vector<HostAddress> peersToAsk();
+
+    DirectoryWatcher &watcherOf(DirectoryPart part)
+    {
+        return watchers_[static_cast<std::size_t>(part)];
+    }
+
+    DirectoryIdentity identity_;
+    SeededRandom random_;
+    TimePoint startedAt_;
+    TimePoint nextRequestAt_;
+    TimePoint nextTimer_;
+    std::array<DirectoryWatcher, EnumNames<DirectoryPart>::table.size()> watchers_;
+    std::array<Lag, EnumNames<DirectoryPart>::table.size()> lags_;
+    TimePoint nextCatchUpRequest_; ///< no request for newer content to a peer before it
+    ServiceMapPtr services_;
+    TargetReplica targets_;
+    DirectoryElection election_;
+    ContentQueue changeQueue_; ///< balancers that lack only recent changes
+    ContentQueue completeListQueue_; ///< balancers that need the complete target list
+    std::vector<std::pair<ZoneId, std::deque<HostAddress>>> requesters_; ///< by other zone, latest last
+    std::shared_ptr<const FleetView> view_;
+    std::optional<TimePoint> contentSince_; ///< since when services and targets are known
+    bool storeLost_ = false; ///< the last call to the store failed
+    bool confirmed_ = false;
+    bool leaving_ = false;
+    bool ready_ = false;
+};
+
+} // namespace poplarroad
+
+#endif
--- /dev/null
+++ b/src/service/directorysyncpeers.cpp
@@ -0,0 +1,266 @@
+// Messages that a balancer exchanges with others about the directory: beacons, requests, content and introductions.
+
+#include "service/directorysync.h"
+
+#include "poplarroad/visitor.h"
+
+#include <algorithm>
+
+namespace poplarroad
+{
+
+namespace
+{
+
+/** Requesters kept for each other zone, to introduce them to later requesters of that zone. */
+constexpr std::size_t MaxRequesters = 8;
+/** Encoded size of a route that shares its group with many others. */
+constexpr std::size_t EncodedRouteBytes = 8;
+/** Encoded size of a target. */
+constexpr std::size_t EncodedTargetBytes = 88;
+/** Encoded size of a message without routes and targets. */
+constexpr std::size_t EncodedMessageBytes = 100;
+
+std::size_t encodedSize(const DirectoryContent &content)
+{
+    return EncodedMessageBytes + (content.services ? content.services->routes.size() * EncodedRouteBytes : 0)
+        + content.targets.changes.size() * EncodedTargetBytes;
+}
+
+} // namespace
+
+void DirectorySync::onMessage(const HostAddress &from, ZoneId zone, const FleetMessage &message, TimePoint now,
+                              DirectoryActions &actions)
+{
+    std::visit(Visitor{
+                   [&](const DirectoryBeacon &beacon) { onBeacon(from, zone, beacon, now, actions); },
+                   [&](const DirectoryRequest &request) { onRequest(from, zone, request, now, actions); },
+                   [&](const ZoneIntroduction &introduction) { actions.emplace_back(AddPeers{ introduction.hosts }); },
+                   [&](const DirectoryContent &content) { onContent(zone, content, now, actions); },
+                   [](const LoadReport &) {}, // handled by the packet task
+               },
+               message);
+    runDueWork(now, actions);
+}
+
+void DirectorySync::onRequest(const HostAddress &from, ZoneId zone, const DirectoryRequest &request, TimePoint now,
+                              DirectoryActions &actions)
+{
+    // The follower's beacon tells a balancer that starts that another one follows, and whether its list is current.
+    if (const auto beacon = election_.knownBeacon(state(), now)) {
+        actions.emplace_back(SendFleetMessage{ { from }, *beacon });
+    }
+    if (ready_) {
+        const bool lacksHistory = request.changesOnly && !targets_.hasChangesSince(request.targets);
+        queueContent({ from }, { {}, request.serviceVersion, request.targets, lacksHistory });
+    }
+    if (zone != identity_.zone) {
+        sendIntroduction(from, zone, actions);
+    }
+}
+
+void DirectorySync::sendIntroduction(const HostAddress &to, ZoneId zone, DirectoryActions &actions)
+{
+    auto known =
+        std::find_if(requesters_.begin(), requesters_.end(), [&](const auto &entry) { return entry.first == zone; });
+    if (known == requesters_.end()) {
+        known = requesters_.insert(requesters_.end(), { zone, {} });
+    }
+    std::deque<HostAddress> &requesters = known->second;
+    std::vector<HostAddress> hosts(requesters.begin(), requesters.end());
+    if (const ZoneSummary *const summary = view_ ? view_->findZone(zone) : nullptr) {
+        hosts.insert(hosts.end(), summary->gateways.begin(), summary->gateways.end());
+    }
+    std::erase(hosts, to);
+    if (!hosts.empty()) {
+        actions.emplace_back(SendFleetMessage{ { to }, ZoneIntroduction{ std::move(hosts) } });
+    }
+    std::erase(requesters, to);
+    requesters.push_back(to);
+    if (requesters.size() > MaxRequesters) {
+        requesters.pop_front();
+    }
+}
+
+void DirectorySync::onBeacon(const HostAddress &from, ZoneId zone, const DirectoryBeacon &beacon, TimePoint now,
+                             DirectoryActions &actions)
+{
+    election_.onBeacon(beacon, now);
+    if (beacon.targets > targets_.lastChange() && beacon.targetsDigest == targets_.digest() && hasContent()) {
+        targets_.confirmSame(beacon.targets);
+    }
+    requestNewer(from, beacon, now, actions);
+    const bool isBehind = std::any_of(lags_.begin(), lags_.end(), [](const Lag &lag) { return lag.since.has_value(); });
+    const bool hasContact = Milliseconds(beacon.contactAgeMs) < DirectoryElection::MaxContactAge;
+    confirmed_ = confirmed_ || (hasContent() && hasContact && !isBehind);
+    if (zone != identity_.zone && !beacon.relayed) {
+        DirectoryBeacon relayed = beacon;
+        relayed.relayed = true;
+        actions.emplace_back(SendFleetMessage{ zoneMembers(), relayed });
+    }
+}
+
+void DirectorySync::requestNewer(const HostAddress &from, const DirectoryBeacon &beacon, TimePoint now,
+                                 DirectoryActions &actions)
+{
+    const DirectoryState known = state();
+    const std::array<bool, EnumNames<DirectoryPart>::table.size()> behind{ beacon.serviceVersion > known.serviceVersion,
+                                                                           beacon.targets > known.targets };
+    for (const auto &[part, name] : EnumNames<DirectoryPart>::table) {
+        Lag &lag = lags_[static_cast<std::size_t>(part)];
+        if (!behind[static_cast<std::size_t>(part)]) {
+            lag.since.reset();
+            continue;
+        }
+        if (!lag.since) {
+            lag.since = now;
+            lag.fallbackAt = now + StoreFallbackDelay
+                + std::chrono::duration_cast<Microseconds>(StoreFallbackSpread * random_.nextDouble());
+        } else if (now >= lag.fallbackAt) {
+            lag.fallbackAt = now + StoreFallbackDelay;
+            const bool isServices = part == DirectoryPart::Services;
+            watcherOf(part).catchUp(isServices ? Revision{} : targets_.revision(), now);
+        }
+    }
+    const bool anyBehind = std::find(behind.begin(), behind.end(), true) != behind.end();
+    if (anyBehind && now >= nextCatchUpRequest_) {
+        nextCatchUpRequest_ = now + RequestTimeout;
+        const bool justStarted = hasContent() && !ready_;
+        actions.emplace_back(
+            SendFleetMessage{ { from }, DirectoryRequest{ known.serviceVersion, targets_.revision(), justStarted } });
+    }
+}
+
+void DirectorySync::onContent(ZoneId zone, const DirectoryContent &content, TimePoint now, DirectoryActions &actions)
+{
+    const PendingContent before{ {}, services_ ? services_->version : 0, targets_.revision() };
+    bool changed = content.services && applyServices(content.services, actions);
+    // Ignores changes that leave a gap after the known list; at the next beacon this balancer requests all of them.
+    if (content.targets.complete || (before.targets.value != 0 && content.targetsAfter <= before.targets)) {
+        changed = applyTargets(content.targets, {}, now, actions) || changed;
+        confirmed_ = confirmed_ || hasContent();
+    }
+    if (changed && zone != identity_.zone) {
+        queueContent(zoneMembers(), before);
+    }
+}
+
+void DirectorySync::sendBeacon(TimePoint now, DirectoryActions &actions)
+{
+    if (auto beacon = election_.beacon(state(), now)) {
+        std::vector<HostAddress> hosts = membersAndGateways();
+        // Without contact to the store several balancers follow, so each sends beacons to a few peers only.
+        if (Milliseconds(beacon->contactAgeMs) >= DirectoryElection::MaxContactAge) {
+            random_.shuffle(hosts);
+            hosts.resize(std::min(hosts.size(), MessageFanout));
+        }
+        actions.emplace_back(SendFleetMessage{ std::move(hosts), *beacon });
+    }
+}
+
+void DirectorySync::requestFromPeers(TimePoint now, DirectoryActions &actions)
+{
+    if (now < nextRequestAt_) {
+        return;
+    }
+    const bool alone = zoneMembers().empty();
+    if (ready_ && !alone) {
+        nextRequestAt_ = now + PeerSearchPeriod;
+        return;
+    }
+    nextRequestAt_ = now + (now - startedAt_ > StartupQueryTime ? PeerSearchPeriod : RequestTimeout);
+    const std::vector<HostAddress> hosts = peersToAsk();
+    if (!hosts.empty()) {
+        const DirectoryState known = state();
+        actions.emplace_back(
+            SendFleetMessage{ hosts, DirectoryRequest{ known.serviceVersion, targets_.revision(), hasContent() } });
+    }
+}
+
+std::vector<HostAddress> DirectorySync::peersToAsk()
+{
+    std::vector<HostAddress> hosts = membersAndGateways();
+    random_.shuffle(hosts);
+    if (zoneMembers().empty()) {
+        std::vector<HostAddress> seeds = identity_.seeds;
+        std::erase(seeds, identity_.self);
+        hosts.insert(hosts.begin(), seeds.begin(), seeds.end());
+    }
+    hosts.resize(std::min(hosts.size(), MessageFanout));
+    return hosts;
+}
+
+void DirectorySync::queueContent(const std::vector<HostAddress> &hosts, const PendingContent &known)
+{
+    if (!ready_) {
+        return;
+    }
+    // While changes are delayed, balancers still use targets that leave; complete lists must not delay changes.
+    const bool isShort = known.servicesOnly || targets_.hasChangesSince(known.targets);
+    ContentQueue &queue = isShort ? changeQueue_ : completeListQueue_;
+    PendingContent pending = known;
+    for (const HostAddress &host : hosts) {
+        pending.host = host;
+        queue.add(pending);
+    }
+}
+
+void DirectorySync::sendQueued(ContentQueue &queue, TimePoint now, DirectoryActions &actions)
+{
+    std::optional<PendingContent> lacking;
+    SendFleetMessage message;
+    std::size_t size = 0;
+    while (auto next = queue.take(now)) {
+        if (!lacking || !lacking->lacksSameAs(*next)) {
+            if (lacking) {
+                actions.emplace_back(std::move(message));
+            }
+            DirectoryContent content = contentFor(*next);
+            size = encodedSize(content);
+            message = { {}, std::move(content) };
+            lacking = next;
+        }
+        message.hosts.push_back(next->host);
+        queue.onSent(size, now);
+    }
+    if (lacking) {
+        actions.emplace_back(std::move(message));
+    }
+}
+
+DirectoryContent DirectorySync::contentFor(const PendingContent &known) const
+{
+    DirectoryContent content;
+    content.services = services_->version > known.serviceVersion ? services_ : nullptr;
+    if (known.servicesOnly) {
+        // Changes after this list; the receiver has an older one and ignores them.
+        content.targets.revision = targets_.revision();
+        content.targetsAfter = targets_.revision();
+        return content;
+    }
+    content.targets = targets_.updateSince(known.targets);
+    content.targetsAfter = known.targets;
+    return content;
+}
+
+std::vector<HostAddress> DirectorySync::zoneMembers() const
+{
+    std::vector<HostAddress> hosts;
+    for (const HostRecord &host : view_ ? view_->hosts : std::vector<HostRecord>()) {
+        if (host.address != identity_.self && host.state != HostState::Dead) {
+            hosts.push_back(host.address);
+        }
+    }
+    return hosts;
+}
+
+std::vector<HostAddress> DirectorySync::membersAndGateways() const
+{
+    std::vector<HostAddress> hosts = zoneMembers();
+    for (const ZoneSummary &zone : view_ ? view_->otherZones : std::vector<ZoneSummary>()) {
+        hosts.insert(hosts.end(), zone.gateways.begin(), zone.gateways.end());
+    }
+    return hosts;
+}
+
+} // namespace poplarroad
--- a/src/service/directorywatcher.cpp
+++ b/src/service/directorywatcher.cpp
@@ -7,15 +7,26 @@
 
 std::optional<DirectoryWatcher::DueCall> DirectoryWatcher::next(TimePoint now)
 {
-    if (inProgress_ || now < nextCallAt_) {
+    if (inProgress_ || step_ == Step::Idle || now < nextCallAt_) {
         return std::nullopt;
     }
     inProgress_ = true;
     ++number_;
-    if (revision_.value == 0) {
-        return DueCall{ ReadPart{}, number_ };
+    return DueCall{ callOf(step_), reason_, number_ };
+}
+
+StoreCall DirectoryWatcher::callOf(Step step) const
+{
+    switch (step) {
+    case Step::StartRead:
+        return ReadPart{ startFreshness_ };
+    case Step::CatchUp:
+        return WatchPart{ revision_, Milliseconds(0) };
+    case Step::Watch:
+        return WatchPart{ revision_, wait_ };
+    default:
+        return ReadPart{};
     }
-    return DueCall{ WatchPart{ revision_, wait_ }, number_ };
 }
 
 bool DirectoryWatcher::onAnswer(std::uint64_t number, const DirectoryResult &answer, TimePoint now)
@@ -25,15 +36,21 @@
     }
     inProgress_ = false;
     if (answer.error) {
-        // The store may have lost its history, and a watch from an old revision may report nothing: read all again.
-        revision_ = {};
-        backOff(now);
+        onFailure(*answer.error, now);
         return false;
     }
+    const bool mayBeStale = step_ == Step::StartRead && startFreshness_ == ReadFreshness::MayBeStale;
     lastContact_ = now;
+    currentAt_ = mayBeStale ? currentAt_ : now;
     backoff_ = InitialBackoff;
-    const bool changed = answer.services || !answer.targets.empty();
-    nextCallAt_ = following_ ? now + (changed ? BatchDelay : Milliseconds(0)) : TimePoint::max();
+    if (!following_) {
+        step_ = Step::Idle;
+    } else if (mayBeStale) {
+        begin(Step::CatchUp, StoreCallReason::CatchUp, now);
+    } else {
+        const bool changed = answer.services || !answer.targets.empty();
+        begin(Step::Watch, StoreCallReason::Watch, now + (changed ? BatchDelay : Milliseconds(0)));
+    }
     if (answer.revision < revision_) {
         return false;
     }
@@ -41,16 +58,55 @@
     return true;
 }
 
+void DirectoryWatcher::onFailure(StoreError error, TimePoint now)
+{
+    const bool lacksHistory = step_ == Step::CatchUp && error == StoreError::NotFound;
+    if (following_ || lacksHistory) {
+        // The store may have lost its history, and a watch from an old revision may report nothing: read all again.
+        revision_ = {};
+        begin(Step::Read, StoreCallReason::Retry, now);
+    } else if (step_ == Step::StartRead) {
+        reason_ = StoreCallReason::Retry;
+    } else {
+        step_ = Step::Idle;
+    }
+    backOff(now);
+}
+
 void DirectoryWatcher::setFollowing(bool following, TimePoint now)
 {
     if (following == following_) {
         return;
     }
     following_ = following;
-    if (following) {
-        restart(now);
-    } else if (revision_.value != 0) {
-        nextCallAt_ = TimePoint::max();
+    const bool starting = step_ == Step::StartRead;
+    if (!following && !starting) {
+        step_ = Step::Idle;
+        inProgress_ = false;
+    } else if (following && !starting) {
+        inProgress_ = false;
+        const bool recent = currentAt_.has_value() && now - *currentAt_ <= RecentRead && revision_.value != 0;
+        const bool recentStale = !currentAt_ && lastContact_ && now - *lastContact_ <= RecentRead;
+        if (!recent && !recentStale) {
+            revision_ = {};
+        }
+        begin(revision_.value == 0 ? Step::Read : Step::CatchUp, StoreCallReason::Takeover, now);
+    }
+}
+
+void DirectoryWatcher::catchUp(Revision known, TimePoint now)
+{
+    if (following_ || step_ != Step::Idle) {
+        return;
+    }
+    revision_ = known;
+    begin(known.value == 0 ? Step::Read : Step::CatchUp, StoreCallReason::CatchUp, now);
+}
+
+void DirectoryWatcher::skipStart()
+{
+    if (step_ == Step::StartRead && !following_) {
+        step_ = Step::Idle;
         inProgress_ = false;
     }
 }
@@ -58,8 +114,19 @@
 void DirectoryWatcher::restart(TimePoint now)
 {
     inProgress_ = false;
-    revision_ = {};
-    nextCallAt_ = now;
+    if (following_) {
+        revision_ = {};
+        begin(Step::Read, StoreCallReason::Retry, now);
+    } else if (step_ != Step::Idle) {
+        nextCallAt_ = now;
+    }
+}
+
+void DirectoryWatcher::begin(Step step, StoreCallReason reason, TimePoint at)
+{
+    step_ = step;
+    reason_ = reason;
+    nextCallAt_ = at;
 }
 
 void DirectoryWatcher::backOff(TimePoint now)
--- a/src/service/directorywatcher.h
+++ b/src/service/directorywatcher.h
@@ -14,6 +14,7 @@
 /** Read one part of the directory completely. */
 struct ReadPart
 {
+    ReadFreshness freshness = ReadFreshness::Current;
 };
 
 /** Wait for changes of one part. */
@@ -25,9 +26,32 @@
 
 using StoreCall = std::variant<ReadPart, WatchPart>;
 
+/** Why a call to the store is made. */
+enum class StoreCallReason : std::uint8_t {
+    Start,
+    Takeover, ///< this balancer begins to follow the store
+    Retry, ///< an earlier call failed
+    CatchUp, ///< for the changes after a list that may be old
+    Watch,
+};
+
+template<>
+struct EnumNames<StoreCallReason>
+{
+    static constexpr std::array table{
+        EnumName<StoreCallReason>{ StoreCallReason::Start, "start" },
+        EnumName<StoreCallReason>{ StoreCallReason::Takeover, "takeover" },
+        EnumName<StoreCallReason>{ StoreCallReason::Retry, "retry" },
+        EnumName<StoreCallReason>{ StoreCallReason::CatchUp, "catch-up" },
+        EnumName<StoreCallReason>{ StoreCallReason::Watch, "watch" },
+    };
+};
+
 /**
- * Schedules the store calls for one part of the directory: a complete read first, then watches (long polls) for
- * changes.
+ * Schedules the store calls for one part of the directory.
+ *
+ * A balancer reads the part once at its start. While it follows the store it watches (long polls) for changes, after a
+ * complete read; otherwise it makes no calls but those that catchUp() asks for.
  *
  * One call is in progress at a time. Calls are numbered, so that late answers to earlier calls are recognized.
  */
@@ -40,10 +64,17 @@
     static constexpr Milliseconds InitialBackoff{ 50 };
     /** Targets write lapsed entries again within 2 s of the store's return, so it has to be noticed well before. */
     static constexpr Milliseconds MaxBackoff{ 800 };
+    /** A list that was read this recently need not be read again when this balancer begins to follow the store. */
+    static constexpr Milliseconds RecentRead{ 2000 };
 
-    /** @param wait how long the store holds a watch; each one costs a call and renews lastContact() */
-    DirectoryWatcher(Milliseconds wait, std::uint64_t seed)
+    /**
+     * @param wait how long the store holds a watch; each one costs a call and renews lastContact()
+     * @param startFreshness whether the read at the start may be stale; the changes that it lacks are then to be
+     *     requested from peers, or by catchUp()
+     */
+    DirectoryWatcher(Milliseconds wait, ReadFreshness startFreshness, std::uint64_t seed)
         : wait_(wait)
+        , startFreshness_(startFreshness)
         , random_(seed)
     {
     }
@@ -52,43 +83,69 @@
     struct DueCall
     {
         StoreCall call;
+        StoreCallReason reason = StoreCallReason::Start;
         std::uint64_t number = 0; ///< to be passed to onAnswer()
     };
     /** @return the call to make now, or nothing if one is in progress or none is due */
     std::optional<DueCall> next(TimePoint now);
     /** Handles the answer to a call. @return whether it answers the current call and its content is valid */
     bool onAnswer(std::uint64_t number, const DirectoryResult &answer, TimePoint now);
-    /** Starts or stops watching the store. The part is read completely once in either case. */
+    /** Starts or stops watching the store. */
     void setFollowing(bool following, TimePoint now);
-    /** Abandons the call in progress, which may never be answered, and reads the part completely. */
+    /** Requests the changes after a revision once, or the complete part if the revision is 0; not while following. */
+    void catchUp(Revision known, TimePoint now);
+    /** Ends the attempts to read the part at the start, since peers sent it. */
+    void skipStart();
+    /** Abandons the call in progress, which may never be answered; a follower reads the part completely. */
     void restart(TimePoint now);
-    /** @return when next() has to be called next; TimePoint::max() while a call is in progress */
+    /** @return when next() has to be called next; TimePoint::max() while a call is in progress or none is needed */
     TimePoint nextTimer() const
     {
-        return inProgress_ ? TimePoint::max() : nextCallAt_;
+        return inProgress_ || step_ == Step::Idle ? TimePoint::max() : nextCallAt_;
     }
     /** @return when the store last answered without an error */
     std::optional<TimePoint> lastContact() const
     {
         return lastContact_;
     }
+    /** @return when the part was last known to be current, as the store itself said */
+    std::optional<TimePoint> currentAt() const
+    {
+        return currentAt_;
+    }
     Revision revision() const
     {
         return revision_;
     }
 
 private:
+    /** The kind of the call in progress or the next one. */
+    enum class Step : std::uint8_t {
+        Idle,
+        StartRead,
+        Read,
+        CatchUp,
+        Watch,
+    };
+
+    StoreCall callOf(Step step) const;
+    void onFailure(StoreError error, TimePoint now);
+    void begin(Step step, StoreCallReason reason, TimePoint at);
     void backOff(TimePoint now);
 
     Milliseconds wait_;
+    ReadFreshness startFreshness_;
     SeededRandom random_;
     Revision revision_; ///< all changes up to it are known; 0 before the first read
-    bool following_ = true;
+    Step step_ = Step::StartRead;
+    StoreCallReason reason_ = StoreCallReason::Start;
+    bool following_ = false;
     bool inProgress_ = false;
     std::uint64_t number_ = 0;
     TimePoint nextCallAt_;
     Milliseconds backoff_ = InitialBackoff;
     std::optional<TimePoint> lastContact_;
+    std::optional<TimePoint> currentAt_;
 };
 
 } // namespace poplarroad
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -7,6 +7,22 @@
 namespace poplarroad
 {
 
+namespace
+{
+
+/** @return a hash of what the entry says, the same in all balancers */
+std::uint64_t hashOf(const ListedTarget &listed)
+{
+    const Target &target = listed.target;
+    std::uint64_t hash = rendezvousWeight(listed.instance, target.id.value);
+    hash = rendezvousWeight(hash, target.address.key());
+    hash = rendezvousWeight(hash, (std::uint64_t{ target.service.value } << 32U) | target.zone.value);
+    hash = rendezvousWeight(hash, (std::uint64_t{ target.slots } << 8U) | static_cast<std::uint8_t>(target.state));
+    return rendezvousWeight(hash, static_cast<std::uint64_t>(listed.warmup.count()));
+}
+
+} // namespace
+
 TargetUpdate TargetReplica::apply(const TargetUpdate &update, TimePoint now, const std::vector<TargetId> &unreadable)
 {
     TargetUpdate applied;
@@ -85,13 +101,31 @@
         known->second.revision = change.revision;
         return;
     }
-    entries_.insert_or_assign(id, Entry{ change.target, change.revision });
+    setEntry(change);
     TargetChange present = change;
     present.listing = ListingState::Present;
     appendToLog(present, update);
     applied.changes.push_back(std::move(present));
 }
 
+void TargetReplica::setEntry(const TargetChange &change)
+{
+    const auto [entry, isNew] = entries_.try_emplace(change.target.target.id);
+    digest_ += hashOf(change.target) - (isNew ? 0 : hashOf(entry->second.target));
+    entry->second = { change.target, change.revision };
+}
+
+void TargetReplica::confirmSame(Revision revision)
+{
+    if (revision <= lastChange()) {
+        return;
+    }
+    // The changes in between are not in the log, so peers with an older list need the complete one.
+    log_.clear();
+    logStart_ = revision;
+    revision_ = std::max(revision_, revision);
+}
+
 void TargetReplica::importLapsed(const TargetChange &lapsed, TimePoint now, TargetUpdate &applied)
 {
     const TargetId id = lapsed.target.target.id;
@@ -114,6 +148,7 @@
     }
     appendToLog(gone, update);
     Entry entry{ std::move(known->second.target), gone.revision };
+    digest_ -= hashOf(entry.target);
     entries_.erase(known);
     if (entry.target.target.state == TargetState::Active) {
         applied.changes.push_back({ gone.revision, ListingState::Lapsed, entry.target });
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -54,6 +54,17 @@
     {
         return log_.empty() ? logStart_ : log_.back().position;
     }
+    /** @return a number that is equal for lists with the same present entries */
+    std::uint64_t digest() const
+    {
+        return digest_;
+    }
+    /**
+     * Records that a peer's list at a later revision is the same, which equal digests show.
+     *
+     * @param revision of the last change of the peer's list
+     */
+    void confirmSame(Revision revision);
     /** @return whether updateSince() returns only changes, not the complete list */
     bool hasChangesSince(Revision after) const
     {
@@ -97,6 +108,8 @@
     bool isOutdated(const TargetChange &change, const TargetUpdate &update) const;
     /** Takes over an entry that lapsed at a peer and is unknown here, during the import window. */
     void importLapsed(const TargetChange &lapsed, TimePoint now, TargetUpdate &applied);
+    /** Adds or replaces an entry. */
+    void setEntry(const TargetChange &change);
     /** Removes an entry; that of an active target stays in use as lapsed. */
     void removeEntry(const TargetChange &gone, const TargetUpdate &update, TimePoint now, TargetUpdate &applied);
     void appendToLog(const TargetChange &change, const TargetUpdate &update);
@@ -104,6 +117,7 @@
     Revision revision_;
     std::optional<TimePoint> firstListAt_;
     absl::flat_hash_map<TargetId, Entry> entries_;
+    std::uint64_t digest_ = 0; ///< sum over the entries
     absl::flat_hash_map<TargetId, Entry> lapsed_;
     std::deque<LapseDeadline> lapseDeadlines_; ///< in order of `until`
     std::deque<LogEntry> log_; ///< in order of position
--- a/src/zone/gateways.cpp
+++ b/src/zone/gateways.cpp
@@ -1,6 +1,7 @@
 #include "gateways.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace poplarroad
 {
@@ -180,15 +181,19 @@
     return withAge(next->second, now);
 }
 
-std::vector<HostAddress> Gateways::gatewaysFor(ZoneId other, const std::vector<HostAddress> &liveHosts) const
+std::vector<HostAddress> Gateways::gatewaysFor(ZoneId other, const std::vector<HostRecord> &liveHosts) const
 {
     const std::uint64_t pair = (static_cast<std::uint64_t>(ownZone_.value) << 32U) | other.value;
-    std::vector<HostAddress> chosen(std::min(GatewaysPerZone, liveHosts.size()));
+    const auto preference = [pair](const HostRecord &host) {
+        return std::pair(std::bit_width(host.rank), rendezvousWeight(pair, host.address.key()));
+    };
+    std::vector<HostRecord> chosen(std::min(GatewaysPerZone, liveHosts.size()));
     std::partial_sort_copy(liveHosts.begin(), liveHosts.end(), chosen.begin(), chosen.end(),
-                           [pair](const HostAddress &a, const HostAddress &b) {
-                               return rendezvousWeight(pair, a.key()) > rendezvousWeight(pair, b.key());
-                           });
-    return chosen;
+                           [&](const HostRecord &a, const HostRecord &b) { return preference(a) > preference(b); });
+    std::vector<HostAddress> addresses;
+    std::transform(chosen.begin(), chosen.end(), std::back_inserter(addresses),
+                   [](const HostRecord &host) { return host.address; });
+    return addresses;
 }
 
 ZoneSummary Gateways::withAge(const Entry &entry, TimePoint now)
--- a/src/zone/gateways.h
+++ b/src/zone/gateways.h
@@ -49,8 +49,13 @@
     std::uint64_t digest() const;
     /** @return the next summary in rotation with its age, to be sent to a peer whose digest differs */
     std::optional<ZoneSummary> nextForRepair(TimePoint now);
-    /** @return the gateways to the other zone: up to two hosts of this zone, chosen by rendezvous hashing */
-    std::vector<HostAddress> gatewaysFor(ZoneId other, const std::vector<HostAddress> &liveHosts) const;
+    /**
+     * Hosts whose ranks differ by less than a factor of two count as equal, so that the work for many zones is spread.
+     *
+     * @return the gateways to the other zone: up to two hosts of this zone, of those with the highest rank the ones
+     *     chosen by rendezvous hashing
+     */
+    std::vector<HostAddress> gatewaysFor(ZoneId other, const std::vector<HostRecord> &liveHosts) const;
     /** @return the number of known other zones */
     std::size_t count() const
     {
--- a/src/zone/membership.cpp
+++ b/src/zone/membership.cpp
@@ -15,9 +15,9 @@
 } // namespace
 
 Membership::Impl::Impl(PeerIdentity self, std::vector<HostAddress> seeds, MembershipTiming timing, std::uint64_t seed,
-                       std::uint64_t epoch)
+                       std::uint64_t epoch, std::uint16_t rank)
     : identity_(self)
-    , self_{ self.address, self.incarnation, HostState::Alive, epoch, 0 }
+    , self_{ self.address, self.incarnation, HostState::Alive, epoch, 0, rank }
     , seeds_(std::move(seeds))
     , timing_(timing)
     , random_(seed)
@@ -204,8 +204,8 @@
 }
 
 Membership::Membership(PeerIdentity self, std::vector<HostAddress> seeds, MembershipTiming timing, std::uint64_t seed,
-                       std::uint64_t epoch)
-    : impl_(std::make_unique<Impl>(self, std::move(seeds), timing, seed, epoch))
+                       std::uint64_t epoch, std::uint16_t rank)
+    : impl_(std::make_unique<Impl>(self, std::move(seeds), timing, seed, epoch, rank))
 {
 }
 
--- a/src/zone/membershipimpl.h
+++ b/src/zone/membershipimpl.h
@@ -19,7 +19,7 @@
 {
 public:
     Impl(PeerIdentity self, std::vector<HostAddress> seeds, MembershipTiming timing, std::uint64_t seed,
-         std::uint64_t epoch);
+         std::uint64_t epoch, std::uint16_t rank);
 
     void onDatagram(const PeerIdentity &from, const PeerDatagram &datagram, TimePoint now, MembershipActions &actions);
     void onTimer(TimePoint now, MembershipActions &actions);
@@ -71,7 +71,7 @@
     std::optional<HostAddress> nextSeed();
 
     // Other zones (zonesummaries.cpp).
-    std::vector<HostAddress> liveHosts() const;
+    std::vector<HostRecord> liveHosts() const;
     ZoneSummary ownSummary(ZoneId receiver) const;
     void onPingFromOtherZone(const PeerIdentity &from, TimePoint now, MembershipActions &actions);
     void onSummary(const PeerIdentity &from, const ZoneSummaryMessage &message, TimePoint now,
--- a/src/zone/zonesummaries.cpp
+++ b/src/zone/zonesummaries.cpp
@@ -16,15 +16,15 @@
 
 } // namespace
 
-std::vector<HostAddress> Membership::Impl::liveHosts() const
+std::vector<HostRecord> Membership::Impl::liveHosts() const
 {
-    std::vector<HostAddress> live;
+    std::vector<HostRecord> live;
     if (self_.state == HostState::Alive) {
-        live.push_back(self_.address);
+        live.push_back(self_);
     }
     for (const auto &[address, member] : members_.members()) {
         if (FleetView::acceptsNewWork(member.record)) {
-            live.push_back(address);
+            live.push_back(member.record);
         }
     }
     return live;
@@ -32,7 +32,7 @@
 
 ZoneSummary Membership::Impl::ownSummary(ZoneId receiver) const
 {
-    const std::vector<HostAddress> live = liveHosts();
+    const std::vector<HostRecord> live = liveHosts();
     return { identity_.zone,
              gateways_.gatewaysFor(receiver, live),
              static_cast<std::uint32_t>(live.size()),
