Start with less work, and let packets wait for the directory

On the large site a weak machine took 0.43 s from its start to its list of targets, and dropped the packets that arrived meanwhile as unknown; their callers retransmit after 0.2 to 1.6 s.

Change: fields of an entry are parsed by their plain form (digits, printable text) before the general parser; the pages of a list share a connection; the first complete list is not logged entry by entry; libevent does not read the environment and the status server does not resolve its address. PacketTask reads its socket only when services and targets are known, after 1 s at the latest. A balancer whose list no peer confirms within 80 ms asks the store itself. Copies of an opening packet that waited together go to one target. The entries of targets that disappeared are called expired in the code.

Tests: storedirectory_tests over the emulated store (one connection, odd page, reserved characters, interrupted list); a case in staleevidence_tests.

--- a/include/poplarroad/directory.h
+++ b/include/poplarroad/directory.h
@@ -92,7 +92,7 @@
 /** State of a target's store entry as this balancer sees it. */
 enum class ListingState : std::uint8_t {
     Present,
-    Lapsed, ///< entry disappeared, perhaps by a store failure; the target stays in use for a grace period
+    Expired, ///< entry disappeared, perhaps by a store failure; the target stays in use for a grace period
     Gone, ///< removed
 };
 
@@ -101,7 +101,7 @@
 {
     static constexpr std::array table{
         EnumName<ListingState>{ ListingState::Present, "present" },
-        EnumName<ListingState>{ ListingState::Lapsed, "lapsed" },
+        EnumName<ListingState>{ ListingState::Expired, "lapsed" },
         EnumName<ListingState>{ ListingState::Gone, "gone" },
     };
 };
--- a/src/base/eventloop.cpp
+++ b/src/base/eventloop.cpp
@@ -5,8 +5,29 @@
 namespace poplarroad
 {
 
+namespace
+{
+
+struct ConfigDeleter
+{
+    void operator()(event_config *config) const
+    {
+        event_config_free(config);
+    }
+};
+
+event_base *newBase()
+{
+    const std::unique_ptr<event_config, ConfigDeleter> config(event_config_new());
+    // Reading the environment takes 16 system calls for each loop, a part of the start that small hosts notice.
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_IGNORE_ENV);
+    return event_base_new_with_config(config.get());
+}
+
+} // namespace
+
 EventLoop::EventLoop()
-    : base_(event_base_new())
+    : base_(newBase())
 {
 }
 
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -170,7 +170,9 @@
 
 void DirectoryTask::perform(PublishTargets &&published)
 {
-    for (const TargetChange &change : published.update.changes) {
+    // The first complete list is not logged entry by entry; `ready` tells how many there are.
+    const bool logsEntries = !published.update.complete;
+    for (const TargetChange &change : logsEntries ? published.update.changes : std::vector<TargetChange>()) {
         log_.write(LogEvent::TargetEntryChanged, now(),
                    { { "target", static_cast<std::int64_t>(change.target.target.id.value) },
                      { "name", change.target.target.name },
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t ReportFanout = 4;
 /** Exceeds the timer delays of a small machine; callers' packets that waited longer were retransmitted meanwhile. */
 constexpr Milliseconds PauseLimit{ 700 };
+/**
+ * While the services and targets are not known yet, callers' packets wait in the socket for at most this time. Callers
+ * retransmit after 200 ms to 1.6 s, so a packet that is dropped costs its caller more than one that waits.
+ */
+constexpr Milliseconds MaxStartHold{ 1000 };
 /** Interval of the traffic summaries, which show operators which balancer had the traffic. */
 constexpr std::chrono::seconds SummaryPeriod{ 5 };
 /** The placement of one in this many flows is logged. */
@@ -48,6 +53,7 @@
                  metrics_.timerDelays.add(now() - timerDue_);
                  onTimer();
              })
+    , startHold_(loop_, [this] { startReading(); })
     , pauseDetector_(loop_, PauseLimit, [this](Milliseconds) { router_.onPaused(now()); })
     , mailbox_(loop_, [this](PacketTaskMessage &&message) { handle(std::move(message)); })
 {
@@ -56,6 +62,8 @@
 void PacketTask::start()
 {
     armTimer();
+    socket_.stopReading();
+    startHold_.armAfter(MaxStartHold);
     pauseDetector_.start();
     reportTimer_.armAfter(ReportPeriod);
     thread_.start(loop_, "packets");
@@ -91,6 +99,18 @@
                    [&](const StopTask &) { loop_.stop(); },
                },
                message);
+    if (!reading_ && router_.knowsDirectory()) {
+        startReading();
+    }
+}
+
+void PacketTask::startReading()
+{
+    startHold_.armAt(TimePoint::max());
+    if (!reading_) {
+        reading_ = true;
+        socket_.startReading();
+    }
 }
 
 void PacketTask::onDatagram(std::string_view datagram)
--- a/src/host/packettask.h
+++ b/src/host/packettask.h
@@ -53,6 +53,8 @@
 private:
     void handle(PacketTaskMessage &&message);
     void onDatagram(std::string_view datagram);
+    /** Begins to read callers' packets, once the directory is known or has been awaited for long enough. */
+    void startReading();
     void sendReset(const ResetFlow &reset);
     void onTimer();
     void armTimer();
@@ -81,6 +83,8 @@
     std::uint64_t summarizedPackets_ = 0; ///< packets forwarded before the last summary
     DatagramSocket socket_;
     LoopTimer timer_;
+    LoopTimer startHold_;
+    bool reading_ = false;
     PauseDetector pauseDetector_;
     Mailbox<PacketTaskMessage> mailbox_;
     TaskThread thread_;
--- a/src/host/statustask.cpp
+++ b/src/host/statustask.cpp
@@ -1,8 +1,11 @@
 #include "host/statustask.h"
 
+#include "link/socketaddress.h"
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 
 namespace poplarroad
 {
@@ -19,8 +22,13 @@
     , server_(evhttp_new(loop_.base()))
     , mailbox_(loop_, [this](StopTask &&) { loop_.stop(); })
 {
-    const std::string endpoint = toString(address);
-    bound_ = evhttp_bind_socket(server_.get(), endpoint.substr(0, endpoint.find(':')).c_str(), address.port) == 0;
+    // evhttp_bind_socket() would resolve the address as a host name.
+    constexpr int backlog = 128;
+    const sockaddr_in local = toSocketAddress(address);
+    evconnlistener *const listener = evconnlistener_new_bind(
+        loop_.base(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, backlog,
+        reinterpret_cast<const sockaddr *>(&local), sizeof(local));
+    bound_ = listener && evhttp_bind_listener(server_.get(), listener);
     if (!path.empty()) {
         evhttp_set_cb(server_.get(), path.c_str(), &StatusTask::onReadiness, this);
     }
--- a/src/link/httpclient.cpp
+++ b/src/link/httpclient.cpp
@@ -38,6 +38,7 @@
     HttpClient *client;
     Callback callback;
     std::unique_ptr<evhttp_connection, ConnectionDeleter> connection;
+    bool continues = false;
     bool failedAfterConnect = false;
     bool ended = false;
     LoopTimer deadline;
@@ -46,7 +47,10 @@
 HttpClient::HttpClient(EventLoop &loop, const HostAddress &server)
     : loop_(loop)
     , server_(server)
-    , cleanup_(loop, [this] { ended_.clear(); })
+    , cleanup_(loop, [this] {
+        ended_.clear();
+        kept_.reset();
+    })
 {
 }
 
@@ -59,20 +63,16 @@
 
 void HttpClient::send(const HttpRequest &call, Callback callback)
 {
-    const std::string endpoint = toString(server_);
-    const std::string host = endpoint.substr(0, endpoint.find(':'));
     auto exchange = std::make_unique<Exchange>(*this, std::move(callback));
-    exchange->connection.reset(evhttp_connection_base_new(loop_.base(), nullptr, host.c_str(), server_.port));
-    const timeval limit{ call.timeout.count() / 1000, (call.timeout.count() % 1000) * 1000 };
-    evhttp_connection_set_timeout_tv(exchange->connection.get(), &limit);
+    prepareConnection(*exchange, call);
 
     evhttp_request *request = evhttp_request_new(&HttpClient::onResponse, exchange.get());
     evhttp_request_set_error_cb(request, [](evhttp_request_error, void *argument) {
         static_cast<Exchange *>(argument)->failedAfterConnect = true;
     });
     evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", endpoint.c_str());
-    evhttp_add_header(headers, "Connection", "close");
+    evhttp_add_header(headers, "Host", toString(server_).c_str());
+    evhttp_add_header(headers, "Connection", call.continues ? "keep-alive" : "close");
     if (call.conditionalHeader) {
         evhttp_add_header(headers, call.conditionalHeader->first, call.conditionalHeader->second.c_str());
     }
@@ -86,6 +86,21 @@
     evhttp_make_request(connection, request, static_cast<evhttp_cmd_type>(call.method), call.path.c_str());
 }
 
+void HttpClient::prepareConnection(Exchange &exchange, const HttpRequest &call)
+{
+    exchange.continues = call.continues;
+    if (call.continues && kept_) {
+        exchange.connection = std::move(kept_->connection);
+        ended_.push_back(std::move(kept_));
+    } else {
+        const std::string endpoint = toString(server_);
+        const std::string host = endpoint.substr(0, endpoint.find(':'));
+        exchange.connection.reset(evhttp_connection_base_new(loop_.base(), nullptr, host.c_str(), server_.port));
+    }
+    const timeval limit{ call.timeout.count() / 1000, (call.timeout.count() % 1000) * 1000 };
+    evhttp_connection_set_timeout_tv(exchange.connection.get(), &limit);
+}
+
 void HttpClient::onResponse(evhttp_request *request, void *exchange)
 {
     auto *finished = static_cast<Exchange *>(exchange);
@@ -119,7 +134,11 @@
     const auto found = std::find_if(exchanges_.begin(), exchanges_.end(),
                                     [&](const auto &candidate) { return candidate.get() == exchange; });
     (*found)->deadline.armAt(TimePoint::max());
-    ended_.push_back(std::move(*found));
+    if (exchange->continues && !response.failure) {
+        kept_ = std::move(*found);
+    } else {
+        ended_.push_back(std::move(*found));
+    }
     exchanges_.erase(found);
     cleanup_.armAfter(Microseconds(0));
     exchange->callback(std::move(response));
--- a/src/link/httpclient.h
+++ b/src/link/httpclient.h
@@ -41,9 +41,16 @@
     std::optional<Header> conditionalHeader; ///< If-Match or If-None-Match
     std::string body; ///< JSON; empty for none
     Milliseconds timeout{ 1000 };
+    /** The response is followed by the next request at once, on the same connection if that is still open. */
+    bool continues = false;
 };
 
-/** Sends HTTP requests to one server, each on its own connection, so that a slow response delays no other request. */
+/**
+ * Sends HTTP requests to one server.
+ *
+ * Each request has its own connection, so that a slow response delays no other request; only requests that continue each
+ * other share one.
+ */
 class HttpClient
 {
 public:
@@ -60,6 +67,8 @@
 private:
     struct Exchange;
 
+    /** Takes the connection over that an earlier request kept open, or creates one. */
+    void prepareConnection(Exchange &exchange, const HttpRequest &call);
     static void onResponse(evhttp_request *request, void *exchange);
     static HttpResponse readResponse(evhttp_request *request);
     void finish(Exchange *exchange, HttpResponse response);
@@ -68,6 +77,7 @@
     HostAddress server_;
     std::vector<std::unique_ptr<Exchange>> exchanges_;
     std::vector<std::unique_ptr<Exchange>> ended_; ///< freed by `cleanup_`, since their callbacks may still run
+    std::unique_ptr<Exchange> kept_; ///< ended, with an open connection for the request that continues it
     LoopTimer cleanup_;
 };
 
--- a/src/link/jsonfields.cpp
+++ b/src/link/jsonfields.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace poplarroad
@@ -27,6 +28,23 @@
     return Json::parse(slice.text, nullptr, false);
 }
 
+/** @return whether the text between quotes stands for itself: printable ASCII without escapes */
+bool isPlain(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](char byte) { return byte >= ' ' && byte <= '~' && byte != '\\' && byte != '"'; });
+}
+
+/** @return the number if it is written as digits only, as nearly all are; std::nullopt for any other form */
+std::optional<std::int64_t> plainInteger(std::string_view text)
+{
+    const bool leadingZero = text.size() > 1 && text.front() == '0';
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool valid = error == std::errc() && end == text.data() + text.size() && !leadingZero && number >= 0;
+    return valid ? std::optional(number) : std::nullopt;
+}
+
 /** @return the value of a number if it is whole and fits */
 std::optional<std::int64_t> wholeNumber(const Json &value)
 {
@@ -85,6 +103,13 @@
     if (slice->text.size() > MaxScalarBytes) {
         return fail(JsonFieldError::OutOfRange, key);
     }
+    constexpr std::size_t quotes = 2;
+    if (slice->text.size() >= quotes) {
+        const std::string_view content = slice->text.substr(1, slice->text.size() - quotes);
+        if (content.size() <= MaxTextBytes && slice->text.ends_with('"') && isPlain(content)) {
+            return std::string(content);
+        }
+    }
     const Json value = parseScalar(*slice);
     if (!value.is_string()) {
         return fail(JsonFieldError::Unreadable, key);
@@ -102,6 +127,9 @@
     if (!slice) {
         return std::nullopt;
     }
+    if (const auto plain = plainInteger(slice->text)) {
+        return *plain >= range.min && *plain <= range.max ? plain : fail(JsonFieldError::OutOfRange, key);
+    }
     const Json value = parseScalar(*slice);
     if (!value.is_number()) {
         // A number that exceeds the range of floating point, such as 1e999, is invalid for the parser.
--- a/src/link/jsonslices.cpp
+++ b/src/link/jsonslices.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/** Members of a usual object of the store; saves repeated allocations. */
+constexpr std::size_t ExpectedMembers = 12;
+
 /** Reads JSON values from a text one after the other, looking only at brackets, strings and separators. */
 class Scanner
 {
@@ -19,8 +22,9 @@
 
     void skipSpace()
     {
-        constexpr std::string_view whitespace = " \t\r\n";
-        position_ = std::min(text_.find_first_not_of(whitespace, position_), text_.size());
+        while (position_ < text_.size() && isSpace(text_[position_])) {
+            ++position_;
+        }
     }
 
     bool atEnd() const
@@ -97,16 +101,20 @@
         return { text_.substr(start, position_ - start), depth };
     }
 
+    static bool isSpace(char byte)
+    {
+        return byte == ' ' || byte == '\n' || byte == '\t' || byte == '\r';
+    }
+
     /** Moves behind the string that starts here. @return whether it is closed */
     bool skipString()
     {
         for (++position_; position_ < text_.size(); ++position_) {
-            if (text_[position_] == '\\') {
-                ++position_;
-            } else if (text_[position_] == '"') {
+            if (text_[position_] == '"') {
                 ++position_;
                 return true;
             }
+            position_ += text_[position_] == '\\' ? 1 : 0;
         }
         position_ = text_.size();
         return false;
@@ -115,8 +123,12 @@
     /** Moves behind a number or a literal. */
     void skipScalar()
     {
-        constexpr std::string_view ends = ",:]} \t\r\n";
-        position_ = std::min(text_.find_first_of(ends, position_), text_.size());
+        const auto ends = [](char byte) {
+            return byte == ',' || byte == ':' || byte == ']' || byte == '}' || isSpace(byte);
+        };
+        while (position_ < text_.size() && !ends(text_[position_])) {
+            ++position_;
+        }
     }
 
     std::string_view text_;
@@ -168,6 +180,7 @@
 std::optional<std::vector<JsonMember>> sliceObject(std::string_view text)
 {
     std::vector<JsonMember> members;
+    members.reserve(ExpectedMembers);
     const bool complete = readSequence(text, '{', '}', [&](Scanner &scanner) {
         const auto key = scanner.string();
         const auto value = key && scanner.consume(':') ? scanner.value() : std::nullopt;
--- a/src/service/directorysync.cpp
+++ b/src/service/directorysync.cpp
@@ -40,6 +40,7 @@
     publish(targets_.onTimer(now), actions);
     updateFollowing(now, actions);
     checkReady(now, actions);
+    confirmByStore(now);
     sendBeacon(now, actions);
     requestFromPeers(now, actions);
     sendQueued(changeQueue_, now, actions);
@@ -47,7 +48,8 @@
     nextTimer_ = std::min({ targets_.nextTimer(), election_.nextTimer(now), nextRequestAt_, changeQueue_.nextTimer(),
                             completeListQueue_.nextTimer() });
     if (contentSince_ && !ready_) {
-        nextTimer_ = std::min(nextTimer_, *contentSince_ + ConfirmationTimeout);
+        nextTimer_ =
+            std::min(nextTimer_, *contentSince_ + (askedStoreToConfirm_ ? ConfirmationTimeout : PeerConfirmationTime));
     }
     callStore(now, actions);
 }
@@ -153,6 +155,15 @@
     }
 }
 
+void DirectorySync::confirmByStore(TimePoint now)
+{
+    const bool due = contentSince_ && now >= *contentSince_ + PeerConfirmationTime;
+    if (due && !ready_ && !askedStoreToConfirm_) {
+        askedStoreToConfirm_ = true;
+        watcherOf(DirectoryPart::Targets).catchUp(targets_.revision(), now);
+    }
+}
+
 void DirectorySync::beginLeave(TimePoint now, DirectoryActions &actions)
 {
     const bool followed = election_.follows();
--- a/src/service/directorysync.h
+++ b/src/service/directorysync.h
@@ -89,6 +89,8 @@
     static constexpr Milliseconds RequestTimeout{ 200 };
     /** Time for the store to answer a starting balancer, which then need not request complete lists from peers. */
     static constexpr Milliseconds FirstRequestDelay{ 150 };
+    /** How long a balancer with a list waits for a peer to confirm it before it asks the store. */
+    static constexpr Milliseconds PeerConfirmationTime{ 80 };
     /** How long a balancer with a list waits for its confirmation before it is ready without. */
     static constexpr Milliseconds ConfirmationTimeout{ 1000 };
     /** How long a starting balancer asks its peers for others of its zone. */
@@ -160,6 +162,8 @@
     bool applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable, TimePoint now,
                       DirectoryActions &actions);
     static void publish(TargetUpdate update, DirectoryActions &actions);
+    /** Asks the store for the changes after the list if no peer confirmed it in time. */
+    void confirmByStore(TimePoint now);
     void checkReady(TimePoint now, DirectoryActions &actions);
     bool hasContent() const
     {
@@ -213,6 +217,7 @@
     std::shared_ptr<const FleetView> view_;
     std::optional<TimePoint> contentSince_; ///< since when services and targets are known
     bool storeLost_ = false; ///< the last call to the store failed
+    bool askedStoreToConfirm_ = false;
     bool confirmed_ = false;
     bool leaving_ = false;
     bool ready_ = false;
--- a/src/service/directorywatcher.h
+++ b/src/service/directorywatcher.h
@@ -62,7 +62,7 @@
     static constexpr Milliseconds BatchDelay{ 150 };
     /** Backoff after the first failed call; doubles up to MaxBackoff. */
     static constexpr Milliseconds InitialBackoff{ 50 };
-    /** Targets write lapsed entries again within 2 s of the store's return, so it has to be noticed well before. */
+    /** Targets write expired entries again within 2 s of the store's return, so it has to be noticed well before. */
     static constexpr Milliseconds MaxBackoff{ 800 };
     /** A list that was read this recently need not be read again when this balancer begins to follow the store. */
     static constexpr Milliseconds RecentRead{ 2000 };
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -13,6 +13,11 @@
 constexpr Milliseconds ExpiryPeriod{ 1000 };
 /** Added to the idle timeout for packets that are still in transit. */
 constexpr std::chrono::seconds ExpirySlack{ 2 };
+/**
+ * Copies of an opening packet are sent 200 ms apart at least. Those that arrive closer together waited somewhere, and say
+ * nothing about the target.
+ */
+constexpr Milliseconds MinOpeningTimeout{ 150 };
 /** Lower bound of the busy fraction, for the time before enough flows were seen. */
 constexpr double MinBusyFraction = 0.02;
 /** Weight of the current requests of a target; below 1, as they matter less than what its flows will send over time. */
@@ -21,8 +26,8 @@
 constexpr double OtherZonePenalty = 1.0;
 /** Cost in requests per slot; large enough that a suspected or silent target is chosen only if no other is left. */
 constexpr double NotAnsweringPenalty = 1000.0;
-/** Cost in requests per slot of a lapsed target: it is probably still up, but a present one is preferred. */
-constexpr double LapsedPenalty = 2.0;
+/** Cost in requests per slot of a expired target: it is probably still up, but a present one is preferred. */
+constexpr double ExpiredPenalty = 2.0;
 /** Speed of a target that warms up, relative to its normal speed. */
 constexpr double WarmupSpeed = 0.5;
 
@@ -105,6 +110,9 @@
 {
     PacketFlow *existing = flows_.find(packet.flow);
     if (existing && existing->sent == packet.sequence && !existing->established) {
+        if (now - existing->openedAt < MinOpeningTimeout) {
+            return forward(existing->target);
+        }
         // A retransmission: the first target did not answer in the usual time.
         observeRetransmission(packet.flow, *existing, now);
         const auto alternative = chooseTarget(route, packet, existing->target, now);
@@ -285,8 +293,8 @@
         double cost = costOf(target, fraction, now);
         if (target.detector.liveness() != TargetLiveness::Answering) {
             cost += NotAnsweringPenalty;
-        } else if (target.listing == ListingState::Lapsed) {
-            cost += LapsedPenalty;
+        } else if (target.listing == ListingState::Expired) {
+            cost += ExpiredPenalty;
         }
         if (cost < bestCost) {
             best = index;
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -110,6 +110,11 @@
     void setServices(ServiceMapPtr services);
     /** Applies changes of the target list; `complete` means that the changes are the whole list. */
     void setTargets(const std::vector<TargetChange> &changes, bool complete, TimePoint now);
+    /** @return whether services and targets are known; without them every packet is dropped */
+    bool knowsDirectory() const
+    {
+        return services_ && !targets_.byId().empty();
+    }
     PacketDecision onPacket(const Packet &packet, TimePoint now);
     /** Resets the flows of targets that are gone or silent and removes idle flows; to be called at nextTimer(). */
     void onTimer(TimePoint now, std::vector<ResetFlow> &resets);
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -27,12 +27,12 @@
 {
     TargetUpdate applied;
     for (const TargetChange &change : update.changes) {
-        if (change.listing == ListingState::Lapsed) {
-            importLapsed(change, now, applied);
+        if (change.listing == ListingState::Expired) {
+            importExpired(change, now, applied);
         }
     }
     if (update.revision < revision_) {
-        // An older answer that arrived after a newer one: only its lapsed entries are used.
+        // An older answer that arrived after a newer one: only its expired entries are used.
         applied.revision = revision_;
         return applied;
     }
@@ -75,7 +75,7 @@
     // Balancers learn of the removal and the return of an entry at different revisions and in different order, so the
     // revisions of the entry are compared, not those of the lists.
     const TargetId id = change.target.target.id;
-    for (const auto *entries : { &entries_, &lapsed_ }) {
+    for (const auto *entries : { &entries_, &expired_ }) {
         const auto known = entries->find(id);
         if (known != entries->end() && change.revision < known->second.revision) {
             return !update.complete;
@@ -88,16 +88,16 @@
                                 TargetUpdate &applied)
 {
     const TargetId id = change.target.target.id;
-    if (change.listing == ListingState::Lapsed || isOutdated(change, update)) {
+    if (change.listing == ListingState::Expired || isOutdated(change, update)) {
         return;
     }
     if (change.listing == ListingState::Gone) {
         removeEntry(change, update, now, applied);
         return;
     }
-    const bool wasLapsed = lapsed_.erase(id) > 0;
+    const bool wasExpired = expired_.erase(id) > 0;
     const auto known = entries_.find(id);
-    if (known != entries_.end() && known->second.target == change.target && !wasLapsed) {
+    if (known != entries_.end() && known->second.target == change.target && !wasExpired) {
         known->second.revision = change.revision;
         return;
     }
@@ -126,16 +126,16 @@
     revision_ = std::max(revision_, revision);
 }
 
-void TargetReplica::importLapsed(const TargetChange &lapsed, TimePoint now, TargetUpdate &applied)
+void TargetReplica::importExpired(const TargetChange &expired, TimePoint now, TargetUpdate &applied)
 {
-    const TargetId id = lapsed.target.target.id;
-    const bool inImportWindow = !firstListAt_ || now - *firstListAt_ <= LapsedImportWindow;
-    if (!inImportWindow || entries_.contains(id) || lapsed_.contains(id)) {
+    const TargetId id = expired.target.target.id;
+    const bool inImportWindow = !firstListAt_ || now - *firstListAt_ <= ExpiredImportWindow;
+    if (!inImportWindow || entries_.contains(id) || expired_.contains(id)) {
         return;
     }
-    lapsed_.insert_or_assign(id, Entry{ lapsed.target, lapsed.revision });
-    lapseDeadlines_.push_back({ id, now + LapsedGracePeriod });
-    applied.changes.push_back(lapsed);
+    expired_.insert_or_assign(id, Entry{ expired.target, expired.revision });
+    graceDeadlines_.push_back({ id, now + ExpiredGracePeriod });
+    applied.changes.push_back(expired);
 }
 
 void TargetReplica::removeEntry(const TargetChange &gone, const TargetUpdate &update, TimePoint now,
@@ -151,9 +151,9 @@
     digest_ -= hashOf(entry.target);
     entries_.erase(known);
     if (entry.target.target.state == TargetState::Active) {
-        applied.changes.push_back({ gone.revision, ListingState::Lapsed, entry.target });
-        lapsed_.insert_or_assign(id, std::move(entry));
-        lapseDeadlines_.push_back({ id, now + LapsedGracePeriod });
+        applied.changes.push_back({ gone.revision, ListingState::Expired, entry.target });
+        expired_.insert_or_assign(id, std::move(entry));
+        graceDeadlines_.push_back({ id, now + ExpiredGracePeriod });
     } else {
         applied.changes.push_back(gone);
     }
@@ -174,12 +174,13 @@
 {
     TargetUpdate applied;
     applied.revision = revision_;
-    while (!lapseDeadlines_.empty() && lapseDeadlines_.front().until <= now) {
-        const TargetId target = lapseDeadlines_.front().target;
-        lapseDeadlines_.pop_front();
-        const auto hasLaterDeadline = std::any_of(lapseDeadlines_.begin(), lapseDeadlines_.end(),
-                                                  [&](const LapseDeadline &lapse) { return lapse.target == target; });
-        if (!hasLaterDeadline && lapsed_.erase(target) > 0) {
+    while (!graceDeadlines_.empty() && graceDeadlines_.front().until <= now) {
+        const TargetId target = graceDeadlines_.front().target;
+        graceDeadlines_.pop_front();
+        const auto hasLaterDeadline =
+            std::any_of(graceDeadlines_.begin(), graceDeadlines_.end(),
+                        [&](const GraceDeadline &deadline) { return deadline.target == target; });
+        if (!hasLaterDeadline && expired_.erase(target) > 0) {
             TargetChange gone{ revision_, ListingState::Gone, {} };
             gone.target.target.id = target;
             applied.changes.push_back(std::move(gone));
@@ -190,7 +191,7 @@
 
 TimePoint TargetReplica::nextTimer() const
 {
-    return lapseDeadlines_.empty() ? TimePoint::max() : lapseDeadlines_.front().until;
+    return graceDeadlines_.empty() ? TimePoint::max() : graceDeadlines_.front().until;
 }
 
 TargetUpdate TargetReplica::updateSince(Revision after) const
@@ -198,8 +199,8 @@
     TargetUpdate update;
     update.revision = revision_;
     update.complete = !hasChangesSince(after);
-    for (const auto &[id, entry] : lapsed_) {
-        update.changes.push_back({ entry.revision, ListingState::Lapsed, entry.target });
+    for (const auto &[id, entry] : expired_) {
+        update.changes.push_back({ entry.revision, ListingState::Expired, entry.target });
     }
     if (update.complete) {
         for (const auto &[id, entry] : entries_) {
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -15,14 +15,14 @@
 /**
  * A copy of the store's target list at one revision.
  *
- * When the entry of an active target disappears, the target stays in use as lapsed for a grace period: entries also
+ * When the entry of an active target disappears, the target stays in use as expired for a grace period: entries also
  * expire while targets cannot write to the store, and are written again once they can.
  */
 class TargetReplica
 {
 public:
-    /** How long a lapsed entry stays in use. A live target writes its entry again within 2 s of the store's return. */
-    static constexpr Milliseconds LapsedGracePeriod{ 2200 };
+    /** How long a expired entry stays in use. A live target writes its entry again within 2 s of the store's return. */
+    static constexpr Milliseconds ExpiredGracePeriod{ 2200 };
     /**
      * Changes kept for peers with an older list; a peer that lacks more gets the complete list. During a release or
      * when targets register, all of the few thousand targets of a zone may change within seconds. At about 150 bytes a
@@ -30,8 +30,8 @@
      */
     static constexpr std::size_t MaxLoggedChanges = 4096;
 
-    /** How long after its first list a balancer takes over lapsed entries from peers; after that it tracks its own. */
-    static constexpr Milliseconds LapsedImportWindow{ 2200 };
+    /** How long after its first list a balancer takes over expired entries from peers; after that it tracks its own. */
+    static constexpr Milliseconds ExpiredImportWindow{ 2200 };
 
     /**
      * Applies an update from the store or from a peer.
@@ -41,7 +41,7 @@
      * @return the changes for the readers of the list
      */
     TargetUpdate apply(const TargetUpdate &update, TimePoint now, const std::vector<TargetId> &unreadable = {});
-    /** Removes lapsed entries whose grace period is over. @return them, as Listing::Gone */
+    /** Removes expired entries whose grace period is over. @return them, as Listing::Gone */
     TargetUpdate onTimer(TimePoint now);
     /** @return when onTimer() has to be called next; TimePoint::max() if no grace period is running */
     TimePoint nextTimer() const;
@@ -77,9 +77,9 @@
     {
         return entries_.size();
     }
-    std::size_t lapsedCount() const
+    std::size_t expiredCount() const
     {
-        return lapsed_.size();
+        return expired_.size();
     }
 
 private:
@@ -95,8 +95,8 @@
         Revision position; ///< lists of this or a later revision contain the change
         TargetChange change;
     };
-    /** End of the grace period of a lapsed entry. */
-    struct LapseDeadline
+    /** End of the grace period of a expired entry. */
+    struct GraceDeadline
     {
         TargetId target;
         TimePoint until;
@@ -106,11 +106,11 @@
     void applyChange(const TargetChange &change, const TargetUpdate &update, TimePoint now, TargetUpdate &applied);
     /** @return whether the known entry is newer than the change; always false for a complete list */
     bool isOutdated(const TargetChange &change, const TargetUpdate &update) const;
-    /** Takes over an entry that lapsed at a peer and is unknown here, during the import window. */
-    void importLapsed(const TargetChange &lapsed, TimePoint now, TargetUpdate &applied);
+    /** Takes over an entry that expired at a peer and is unknown here, during the import window. */
+    void importExpired(const TargetChange &expired, TimePoint now, TargetUpdate &applied);
     /** Adds or replaces an entry. */
     void setEntry(const TargetChange &change);
-    /** Removes an entry; that of an active target stays in use as lapsed. */
+    /** Removes an entry; that of an active target stays in use as expired. */
     void removeEntry(const TargetChange &gone, const TargetUpdate &update, TimePoint now, TargetUpdate &applied);
     void appendToLog(const TargetChange &change, const TargetUpdate &update);
 
@@ -118,8 +118,8 @@
     std::optional<TimePoint> firstListAt_;
     absl::flat_hash_map<TargetId, Entry> entries_;
     std::uint64_t digest_ = 0; ///< sum over the entries
-    absl::flat_hash_map<TargetId, Entry> lapsed_;
-    std::deque<LapseDeadline> lapseDeadlines_; ///< in order of `until`
+    absl::flat_hash_map<TargetId, Entry> expired_;
+    std::deque<GraceDeadline> graceDeadlines_; ///< in order of `until`
     std::deque<LogEntry> log_; ///< in order of position
     Revision logStart_; ///< the log contains every change after this revision
 };
--- a/src/target/targettable.h
+++ b/src/target/targettable.h
@@ -56,7 +56,7 @@
     {
         return entries_[index.value];
     }
-    /** @return the present and lapsed targets of a service, ordered by id */
+    /** @return the present and expired targets of a service, ordered by id */
     const std::vector<TargetIndex> &ofService(ServiceId service) const;
     const absl::flat_hash_map<TargetId, TargetIndex> &byId() const
     {
--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -343,7 +343,7 @@
     replica.apply(completeList(10, { present(1, 3), present(2, 4) }), at(0));
     const TargetUpdate lost = replica.apply(changes(11, { gone(1, 11) }), at(100));
     REQUIRE(lost.changes.size() == 1);
-    CHECK(lost.changes.front().listing == ListingState::Lapsed);
+    CHECK(lost.changes.front().listing == ListingState::Expired);
     SECTION("the entry returns: only the store was unavailable")
     {
         const TargetUpdate back = replica.apply(changes(12, { present(1, 12) }), at(1500));
@@ -369,14 +369,14 @@
     CHECK(lost.changes.front().listing == ListingState::Gone);
 }
 
-TEST_CASE("entries that are missing from a complete list lapse like deleted ones")
+TEST_CASE("entries that are missing from a complete list expire like deleted ones")
 {
     TargetReplica replica;
     replica.apply(completeList(10, { present(1, 3), present(2, 4) }), at(0));
     const TargetUpdate update = replica.apply(completeList(20, { present(2, 4) }), at(100));
     REQUIRE(update.changes.size() == 1);
     CHECK(update.changes.front().target.target.id == TargetId{ 1 });
-    CHECK(update.changes.front().listing == ListingState::Lapsed);
+    CHECK(update.changes.front().listing == ListingState::Expired);
 }
 
 TEST_CASE("an update that is older than the list changes nothing")
@@ -445,10 +445,10 @@
     source.apply(changes(25, { gone(1, 3) }), at(20));
     const TargetUpdate update = peer.apply(source.updateSince(peer.lastChange()), at(30));
     REQUIRE(update.changes.size() == 1);
-    CHECK(update.changes.front().listing == ListingState::Lapsed);
+    CHECK(update.changes.front().listing == ListingState::Expired);
 }
 
-TEST_CASE("balancers do not pass a lapsed entry back and forth forever")
+TEST_CASE("balancers do not pass a expired entry back and forth forever")
 {
     TargetReplica first;
     TargetReplica second;
@@ -457,13 +457,13 @@
     second.apply(completeList(20, {}), at(4000));
     first.apply(completeList(20, {}), at(5000));
     second.onTimer(at(6300));
-    CHECK(second.lapsedCount() == 0);
-    // The first replica still keeps the lapsed entry, which the second one has removed.
+    CHECK(second.expiredCount() == 0);
+    // The first replica still keeps the expired entry, which the second one has removed.
     CHECK(second.apply(first.updateSince(second.lastChange()), at(6400)).changes.empty());
-    CHECK(second.lapsedCount() == 0);
+    CHECK(second.expiredCount() == 0);
 }
 
-TEST_CASE("a balancer that starts while the store lacks entries takes over the lapsed ones of its peers")
+TEST_CASE("a balancer that starts while the store lacks entries takes over the expired ones of its peers")
 {
     TargetReplica peer;
     peer.apply(completeList(10, { present(1, 3), present(2, 4) }), at(0));
@@ -472,5 +472,5 @@
     fresh.apply(completeList(20, {}), at(200));
     const TargetUpdate update = fresh.apply(peer.updateSince(Revision{ 20 }), at(210));
     CHECK(update.changes.size() == 2);
-    CHECK(update.changes.front().listing == ListingState::Lapsed);
+    CHECK(update.changes.front().listing == ListingState::Expired);
 }
--- a/tests/oddentries_tests.cpp
+++ b/tests/oddentries_tests.cpp
@@ -255,7 +255,7 @@
     const TargetUpdate deleted =
         replica.apply({ Revision{ 8 }, false, { { Revision{ 8 }, ListingState::Gone, listedTarget(2) } } }, start);
     REQUIRE(deleted.changes.size() == 1);
-    CHECK(deleted.changes.front().listing == ListingState::Lapsed);
+    CHECK(deleted.changes.front().listing == ListingState::Expired);
     CHECK(replica.size() == 1);
 }
 
--- a/tests/staleevidence_tests.cpp
+++ b/tests/staleevidence_tests.cpp
@@ -143,3 +143,13 @@
     }
     CHECK(atSilent == 1);
 }
+
+TEST_CASE("copies of an opening packet that waited together go to one target")
+{
+    FlowRouter router = routerWith({ listed(1), listed(2), listed(3) });
+    Caller caller(router, 1000);
+    const TargetId first = targetOf(caller.open(at(0)));
+    CHECK(targetOf(caller.open(at(1), 1)) == first);
+    CHECK(targetOf(caller.open(at(2), 2)) == first);
+    CHECK(targetOf(caller.open(at(200), 2)) != first);
+}
--- /dev/null
+++ b/tests/storedirectory_tests.cpp
@@ -0,0 +1,133 @@
+// The platform's directory over the emulated store, with real sockets.
+
+#include "emulator/oddentries.h"
+#include "emulator/store.h"
+#include "platform/storedirectory.h"
+
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+using namespace poplarroad;
+using namespace poplarroad::platform;
+using namespace poplarroad::platform::emulator;
+
+namespace
+{
+
+constexpr std::size_t pageSize = 20;
+
+std::string specOf(std::size_t number)
+{
+    return R"({"service":"s","address":"10.0.0.1:)" + std::to_string(8000 + number)
+        + R"(","zone":"a","maxConcurrency":3,"state":"ready"})";
+}
+
+std::string entryName(std::size_t number)
+{
+    const std::string digits = std::to_string(1000 + number);
+    return "i-" + digits;
+}
+
+/** A directory and the emulated store that it reads, on one event loop. */
+struct TestStore
+{
+    TestStore()
+        : contents(pageSize)
+        , delays(loop)
+        , server(loop, delays, contents, loopbackAddress())
+        , directory(loop, server.addListener())
+        , timeout(loop, [this] { loop.stop(); })
+    {
+    }
+
+    static std::uint32_t loopbackAddress()
+    {
+        constexpr std::uint32_t loopback = 127U << 24U;
+        return loopback | (78U << 16U) | (static_cast<std::uint32_t>(getpid()) & 0xffffU);
+    }
+    DirectoryResult read(DirectoryPart part)
+    {
+        std::optional<DirectoryResult> result;
+        directory.read(part, ReadFreshness::Current, [&](DirectoryResult answer) {
+            result = std::move(answer);
+            loop.stop();
+        });
+        timeout.armAfter(Milliseconds(3000));
+        loop.run();
+        REQUIRE(result);
+        return std::move(*result);
+    }
+
+    /** Lets the loop run for a moment. */
+    void idle()
+    {
+        timeout.armAfter(Milliseconds(10));
+        loop.run();
+    }
+
+    EventLoop loop;
+    StoreContents contents;
+    DelayQueue delays;
+    StoreServer server;
+    StoreDirectory directory;
+    LoopTimer timeout;
+};
+
+} // namespace
+
+TEST_CASE("a list of many pages is read completely, over one connection")
+{
+    TestStore store;
+    for (std::size_t i = 0; i < 205; ++i) {
+        store.contents.put("servers", entryName(i), specOf(i));
+    }
+    const DirectoryResult result = store.read(DirectoryPart::Targets);
+    CHECK_FALSE(result.error);
+    CHECK(result.complete);
+    CHECK(result.targets.size() == 205);
+    CHECK(store.server.calls() == 11);
+    CHECK(store.server.connections() == 1);
+    store.idle();
+    CHECK(store.read(DirectoryPart::Targets).targets.size() == 205);
+    CHECK(store.server.connections() == 2);
+}
+
+TEST_CASE("a page of odd entries hides none of the pages after it")
+{
+    TestStore store;
+    for (std::size_t i = 0; i < 60; ++i) {
+        const bool odd = i >= 20 && i < 40;
+        store.contents.put("servers", entryName(i), odd ? oddSpec(i) : specOf(i));
+    }
+    const DirectoryResult result = store.read(DirectoryPart::Targets);
+    CHECK_FALSE(result.error);
+    CHECK(result.complete);
+    CHECK(result.targets.size() == 40);
+    CHECK(result.refused.size() == 20);
+}
+
+TEST_CASE("a name with reserved characters at the end of a page is encoded in the next call")
+{
+    TestStore store;
+    for (std::size_t i = 0; i < 30; ++i) {
+        store.contents.put("servers", entryName(i), specOf(i));
+    }
+    store.contents.put("servers", entryName(18) + "&after=x#+%", std::string("null"));
+    const DirectoryResult result = store.read(DirectoryPart::Targets);
+    CHECK(result.complete);
+    CHECK(result.targets.size() == 30);
+    CHECK(result.refused.size() == 1);
+}
+
+TEST_CASE("a store that closes its connections in the middle of a list gives an error, and the next read succeeds")
+{
+    TestStore store;
+    for (std::size_t i = 0; i < 60; ++i) {
+        store.contents.put("servers", entryName(i), specOf(i));
+    }
+    store.server.setFault(std::nullopt, StoreFault::AnswersLost);
+    CHECK(store.read(DirectoryPart::Targets).error == StoreError::AnswerLost);
+    store.server.setFault(std::nullopt, StoreFault::None);
+    CHECK(store.read(DirectoryPart::Targets).targets.size() == 60);
+}
--- a/tests/wirefleet_tests.cpp
+++ b/tests/wirefleet_tests.cpp
@@ -77,7 +77,7 @@
                                     { Revision{ 60 },
                                       true,
                                       { makeTargetChange(1, ListingState::Present),
-                                        makeTargetChange(2, ListingState::Lapsed),
+                                        makeTargetChange(2, ListingState::Expired),
                                         makeTargetChange(3, ListingState::Gone) } } };
     const auto decoded = std::get<DirectoryContent>(roundTrip(content));
     REQUIRE(decoded.services);
