Widen two products in directoryfleet_tests before they are compared

Change: the products are computed as std::size_t. No bound changed. Measured: tools/tidy-file.sh tests/directoryfleet_tests.cpp is clean.

--- a/tests/directoryfleet_tests.cpp
+++ b/tests/directoryfleet_tests.cpp
@@ -103,7 +103,7 @@
         const StoreCallCounts before = fleet.calls();
         fleet.setStoreUp(false);
         fleet.run(Milliseconds(5000));
-        CHECK(fleet.followers().size() <= 5 * 13);
+        CHECK(fleet.followers().size() <= std::size_t{ 5 } * 13);
         fleet.removeTarget(3);
         fleet.putServices();
         fleet.setStoreUp(true);
@@ -133,7 +133,7 @@
         fleet.run(Milliseconds(2500));
         CHECK(fleet.outdated() == 0);
         fleet.run(Milliseconds(6000));
-        CHECK(fleet.calls().current - before.current < 5 * 3 * callsOfTakeover);
+        CHECK(fleet.calls().current - before.current < std::size_t{ 5 } * 3 * callsOfTakeover);
     }
 }
 
