--- a/tests/oddentries_tests.cpp
+++ b/tests/oddentries_tests.cpp
@@ -15,7 +15,9 @@
 #include <new>
 
 #if defined(__SANITIZE_ADDRESS__)
-#include <sanitizer/allocator_interface.h>
+// The compiler's headers lack this function of its runtime library.
+extern "C" int __sanitizer_install_malloc_and_free_hooks(void (*onMalloc)(const volatile void *, std::size_t),
+                                                         void (*onFree)(const volatile void *));
 #endif
 
 using namespace poplarroad;
