--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The regression runs on the users' bench: a score and a hunt for broken rules on each site. The days are recorded in
-# journal/. Without names the current sites are run, about 2 hours; the older grown ones run when they are named.
+# journal/. Without names the current sites are run; the older grown ones run when they are named.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 declare -A days=([wdcs-racks]=60 [tdm-edge]=40 [recogidas-bajio]=40 [wdcs-racks-grown]=8 [tdm-edge-large]=8
