Put back two tests of the election and the catch-up

Cause: when the decisions moved from DirectoryElection to DirectorySync, two cases of directory_tests were dropped with the old interface: of two balancers with the same rank exactly one follows; a balancer that is behind asks the sender of the beacon, and the store if that does not help in time. No product code changed. Measured: 308 assertions pass.

--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -1,4 +1,5 @@
 #include "service/directoryelection.h"
+#include "service/directorysync.h"
 #include "service/directorywatcher.h"
 #include "service/targetreplica.h"
 
@@ -80,6 +81,58 @@
     return watcher;
 }
 
+/** @return a balancer with services of version 3 and an empty target list of revision 5, both confirmed */
+DirectorySync readySync()
+{
+    DirectoryIdentity identity;
+    identity.self = lowAddress;
+    identity.rank = 10;
+    DirectorySync sync(identity, 1, at(0));
+    DirectoryActions calls;
+    sync.onTimer(at(0), calls);
+    DirectoryActions ignored;
+    for (const DirectoryAction &action : calls) {
+        if (const auto *call = std::get_if<CallStore>(&action)) {
+            DirectoryResult answer = answerAt(5);
+            answer.complete = true;
+            if (call->part == DirectoryPart::Services) {
+                auto services = std::make_shared<ServiceMap>();
+                services->version = 3;
+                answer.services = services;
+            }
+            sync.onStoreAnswer(call->part, call->due.number, answer, at(1), ignored);
+        }
+    }
+    sync.onMessage(highAddress, identity.zone, beaconOf(highAddress, 20), at(2), ignored);
+    REQUIRE(sync.ready());
+    return sync;
+}
+
+/** What a balancer does when it hears a beacon. */
+struct Reaction
+{
+    std::optional<DirectoryRequest> request; ///< to the sender of the beacon
+    std::vector<CallStore> calls;
+};
+
+Reaction reactionTo(DirectorySync &sync, const DirectoryBeacon &beacon, TimePoint now)
+{
+    DirectoryActions actions;
+    sync.onMessage(highAddress, ZoneId{}, beacon, now, actions);
+    Reaction reaction;
+    for (const DirectoryAction &action : actions) {
+        if (const auto *send = std::get_if<SendFleetMessage>(&action)) {
+            const auto *request = std::get_if<DirectoryRequest>(&send->message);
+            if (request && send->hosts == std::vector{ highAddress }) {
+                reaction.request = *request;
+            }
+        } else if (const auto *call = std::get_if<CallStore>(&action)) {
+            reaction.calls.push_back(*call);
+        }
+    }
+    return reaction;
+}
+
 bool isCompleteRead(const std::optional<DirectoryWatcher::DueCall> &due)
 {
     return due && std::holds_alternative<ReadPart>(due->call);
@@ -293,6 +346,58 @@
     }
 }
 
+TEST_CASE("of two balancers with the same rank exactly one follows")
+{
+    DirectoryElection first(lowAddress, 10, at(0));
+    DirectoryElection second(highAddress, 10, at(0));
+    for (DirectoryElection *election : { &first, &second }) {
+        election->setMembers({});
+        election->update(std::nullopt, true, at(400));
+        REQUIRE(election->follows());
+    }
+    const DirectoryState state{ 3, Revision{ 5 }, at(395), 0 };
+    const auto fromFirst = first.beacon(state, at(400));
+    const auto fromSecond = second.beacon(state, at(400));
+    REQUIRE(fromFirst);
+    REQUIRE(fromSecond);
+    first.onBeacon(*fromSecond, at(401));
+    second.onBeacon(*fromFirst, at(401));
+    first.update(state.lastContact, true, at(402));
+    second.update(state.lastContact, true, at(402));
+    CHECK(first.follows() != second.follows());
+}
+
+TEST_CASE("a balancer that is behind asks the sender of the beacon, and the store if that does not help in time")
+{
+    DirectorySync sync = readySync();
+    DirectoryBeacon newer = beaconOf(highAddress, 20);
+    DirectoryPart part = DirectoryPart::Services;
+    SECTION("behind with the services")
+    {
+        newer.serviceVersion = 4;
+    }
+    SECTION("behind with the targets")
+    {
+        part = DirectoryPart::Targets;
+        newer.targets = Revision{ 6 };
+        newer.targetsDigest = 1;
+    }
+    const Reaction first = reactionTo(sync, newer, at(100));
+    REQUIRE(first.request);
+    CHECK(first.request->serviceVersion == 3);
+    CHECK(first.request->targets == Revision{ 5 });
+    CHECK(first.calls.empty());
+    CHECK_FALSE(reactionTo(sync, newer, at(200)).request);
+    CHECK(reactionTo(sync, newer, at(300)).request);
+    const TimePoint soonest = at(100) + DirectorySync::StoreFallbackDelay;
+    CHECK(reactionTo(sync, newer, soonest - Milliseconds(1)).calls.empty());
+    const Reaction last = reactionTo(sync, newer, soonest + DirectorySync::StoreFallbackSpread);
+    REQUIRE(last.calls.size() == 1);
+    CHECK(last.calls.front().part == part);
+    CHECK(last.calls.front().due.reason == StoreCallReason::CatchUp);
+    CHECK(std::holds_alternative<ReadPart>(last.calls.front().due.call) == (part == DirectoryPart::Services));
+}
+
 TEST_CASE("a balancer that leaves does not follow")
 {
     DirectoryElection election(lowAddress, 10, at(0));
