--- a/review/standins.py
+++ b/review/standins.py
@@ -83,6 +83,7 @@
         self.events = []  # (revision, kind, object, deleted)
         self.changed = asyncio.Condition()
         self.down = False  # refuses every call with 503
+        self.beats = {}  # name of a backend's entry: monotonic time of its last accepted write
         self.silent_until = 0.0  # monotonic; until then the machine that watches gets no answers
         self.on_watch = None  # called with the kind when a watch that may wait arrives
         self.calls = 0
@@ -106,6 +107,26 @@
             item = {**item, "meta": {**item["meta"], "revision": self.revision}}
             await self.add_event(kind, item, True)
 
+    async def beat(self, name, spec):
+        """A backend's regular write; changes nothing unless the entry is missing or differs."""
+        if self.down:
+            return False
+        self.beats[name] = time.monotonic()
+        known = self.objects["servers"].get(name)
+        if not known or known["spec"] != spec:
+            await self.put("servers", name, spec)
+        return True
+
+    async def expire(self):
+        """Removes entries after three status report intervals of silence, also while the store is down."""
+        while True:
+            await asyncio.sleep(0.05)
+            for name, at in list(self.beats.items()):
+                if time.monotonic() - at > 3 * HEARTBEAT_S and name in self.objects["servers"]:
+                    del self.beats[name]
+                    self.record.write(f"store: entry {name} expires")
+                    await self.remove("servers", name)
+
     async def add_event(self, kind, item, deleted):
         self.events.append((self.revision, kind, item, deleted))
         async with self.changed:
@@ -199,6 +220,7 @@
         self.state = "ready"
         self.drained_at = None
         self.running = set()
+        self.held = {}  # flows that were open here, with the time of their opening
         self.ended = False
 
     async def start(self):
@@ -212,7 +234,14 @@
                 "born": self.world.born}
 
     async def register(self):
-        await self.world.store.put("servers", self.name, self.spec())
+        await self.world.store.beat(self.name, self.spec())
+
+    async def beat(self):
+        """Writes to the store every heartbeat, as long as the backend lives."""
+        await asyncio.sleep(random.random() * HEARTBEAT_S)
+        while not self.ended:
+            await self.register()
+            await asyncio.sleep(HEARTBEAT_S)
 
     async def drain(self):
         """Reports `draining`; the store's answer is the confirmation."""
@@ -277,6 +306,7 @@
             if got.ack != (flow.seq + 1) & 0xffffffff:
                 return
             flow.open = True
+            self.held[key] = self.world.record.now()
             flow.seq = got.ack
             self.world.record.write(f"backend {self.name}: flow {self.world.label(key)} is open")
         flow.unacked = [entry for entry in flow.unacked
@@ -657,6 +687,7 @@
         self.routes = routes
         self.limits_idle_ms = limits_idle_ms
         await self.store.listen(self.store_address)
+        self.spawn(self.store.expire())
         await self.configure(1)
         for edge in self.edges:
             edge.start()
@@ -675,6 +706,7 @@
     async def add_backend(self, name, host, zone, service, work_s=0.02):
         backend = Backend(self, name, (f"127.{self.net}.3.{host}", self.port + 5), zone, service, work_s)
         await backend.start()
+        self.spawn(backend.beat())
         self.backends.append(backend)
         return backend
 
