--- a/review/2/case.py
+++ b/review/2/case.py
@@ -50,7 +50,8 @@
         world.spawn(short_flows(world, client, routes[0]))
         for _ in range(6):
             world.spawn(long_flow(world, client, routes[0], "GET", 0.3))
-            world.spawn(long_flow(world, client, routes[1], "POST", 0.1))
+            for _ in range(4):
+                world.spawn(long_flow(world, client, routes[1], "POST", 0.1))
     await asyncio.sleep(standins.STABILITY_S + 3.0)
 
     if trouble:
--- a/review/standins.py
+++ b/review/standins.py
@@ -27,7 +27,8 @@
 SYN, FIN, ACK, RST, BOUNCED = 1, 8, 16, 32, 128
 DRAIN_S = 3.0  # drainTimeoutMs of both small sites
 STABILITY_S = 4.0  # stabilityMs of both small sites
-HEARTBEAT_S = 1.2
+HEARTBEAT_S = 1.2  # heartbeatMs of both small sites
+PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20  # of an answer with a list
 
 
 def ip_number(text):
@@ -81,12 +82,11 @@
         self.revision = 10
         self.objects = {"config": {}, "servers": {}}
         self.events = []  # (revision, kind, object, deleted)
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # set, and replaced, at each change
         self.down = False  # refuses every call with 503
         self.beats = {}  # name of a backend's entry: monotonic time of its last accepted write
         self.silent_until = 0.0  # monotonic; until then the machine that watches gets no answers
         self.on_watch = None  # called with the kind when a watch that may wait arrives
-        self.calls = 0
 
     async def listen(self, address):
         self.server = await asyncio.start_server(self.serve, *address)
@@ -129,8 +129,8 @@
 
     async def add_event(self, kind, item, deleted):
         self.events.append((self.revision, kind, item, deleted))
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def silent(self):
         return time.monotonic() < self.silent_until
@@ -139,7 +139,6 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                self.calls += 1
                 target = head.split(" ", 2)[1]
                 url = urllib.parse.urlsplit(target)
                 query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
@@ -166,8 +165,13 @@
             return 503, {}
         if "watch" not in query:
             names = sorted(name for name in self.objects[kind] if name > query.get("after", ""))
-            return 200, {"items": [self.objects[kind][name] for name in names[:500]], "truncated": len(names) > 500,
-                         "currentRev": self.revision}
+            page, size = [], 0
+            for name in names:
+                size += len(json.dumps(self.objects[kind][name]))
+                if page and (len(page) >= PAGE_ITEMS or size > PAGE_BYTES):
+                    break
+                page.append(self.objects[kind][name])
+            return 200, {"items": page, "truncated": len(page) < len(names), "currentRev": self.revision}
         after = int(query["watch"])
         wait = int(query.get("waitMs", "0")) / 1000
         if wait > 0 and self.on_watch:
@@ -183,8 +187,7 @@
             if events or left <= 0:
                 break
             try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), left)
+                await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 pass
             if self.down:
@@ -374,7 +377,6 @@
         self.ended = None  # why
         self.event = asyncio.Event()
         self.buffer = b""
-        self.syn_sent = None
         self.acked = self.seq
         self.key = (ip_number(client.ip), port, ip_number(route.ip), route.port)
 
@@ -392,8 +394,6 @@
         first = self.seq
         for copy, wait in ((0, 0.2), (1, 0.4), (2, 0.8)):
             edge = self.send(SYN, seq=first, ack=copy, echo=0)
-            if copy == 0:
-                self.syn_sent = self.world.record.now()
             self.world.record.write(
                 f"client: opening packet (copy {copy}) of flow {self.world.label(self.key)} to {edge and edge.name}")
             if await self.wait(lambda: self.open or self.ended, wait):
@@ -535,7 +535,6 @@
         self.world, self.name, self.ip, self.zone = world, name, ip, zone
         self.process = None
         self.started = None
-        self.disturbed_until = 0.0  # record time
         self.misses = 2
         self.ready = False
 
@@ -607,7 +606,6 @@
         self.backends = []
         self.clients = []
         self.tasks = []
-        self.on_opening_hook = None
         self.choose_addresses()
         self.store = Store(self.record)
         self.edges = []
@@ -677,12 +675,6 @@
             self.record.write(f"backend {backend.name}: opening packet of flow {self.label(key)} arrives through "
                               f"{edge and edge.name}, {now - backend.drained_at:.3f} s after 'draining' was confirmed")
 
-    def sent_at(self, key):
-        for client in self.clients:
-            if ip_number(client.ip) == key[0] and key[1] in client.sent:
-                return client.sent[key[1]]
-        return None
-
     async def start(self, routes, limits_idle_ms=15000):
         self.routes = routes
         self.limits_idle_ms = limits_idle_ms
