--- a/review/1/case.py
+++ b/review/1/case.py
@@ -48,6 +48,7 @@
         world.record.write(f"another writer: entry of 1,048,000 bytes with a name of {len(NAME)} bytes is in the store")
     await asyncio.sleep(4.0)
     killed_at = world.record.now()
+    await world.configure(4, 1600)
     if trouble:
         for edge in world.edges:
             edge.process.kill()
