Continue the list of the store behind names of any length

Cause: a name of more than 128 bytes counted as unreadable, so that the page had no name to continue after. The list without its targets was taken as the first one at the store's current revision, after which nothing asked for the missing entries.

Change: every name of a page can continue the list; one of more than 1,024 bytes is cut there and what follows with the same beginning is skipped, as a target's name has 128 bytes at most. A list that ends early all the same is marked as truncated: it removes no target, vouches for no revision, is not passed on, and is completed by a peer or a later read. It is logged (list-truncated) and counted.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -46,6 +46,7 @@
     StoreCalls,
     StoreFailures,
     TargetEntriesRefused,
+    ListsTruncated,
 };
 
 template<>
@@ -83,6 +84,7 @@
         EnumName<Counter>{ Counter::StoreCalls, "store_calls" },
         EnumName<Counter>{ Counter::StoreFailures, "store_failures" },
         EnumName<Counter>{ Counter::TargetEntriesRefused, "target_entries_refused" },
+        EnumName<Counter>{ Counter::ListsTruncated, "lists_truncated" },
     };
 };
 
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -121,6 +121,13 @@
 {
     recordStoreResult(part, answer.error);
     recordRefusedEntries(part, answer.refused);
+    if (answer.truncated) {
+        counters_.add(Counter::ListsTruncated);
+        log_.write(LogEvent::ListTruncated, now(),
+                   { { "part", nameOf(part) },
+                     { "entries", static_cast<std::int64_t>(answer.targets.size()) },
+                     { "refused", static_cast<std::int64_t>(answer.refused.size()) } });
+    }
     DirectoryActions actions;
     sync_.onStoreAnswer(part, number, std::move(answer), now(), actions);
     execute(std::move(actions));
--- a/src/host/eventlog.h
+++ b/src/host/eventlog.h
@@ -25,6 +25,7 @@
     Paused, ///< the event loop did not run for some time
     StoreLost, ///< calls to the store fail
     StoreRecovered,
+    ListTruncated, ///< a list of the store could not be read to its end
     StoreRead, ///< this balancer reads a part of the directory completely
     FollowingChanged, ///< this balancer starts to follow the store, or leaves that to another one
     ServicesChanged,
@@ -49,6 +50,7 @@
         EnumName<LogEvent>{ LogEvent::Paused, "paused" },
         EnumName<LogEvent>{ LogEvent::StoreLost, "store-lost" },
         EnumName<LogEvent>{ LogEvent::StoreRecovered, "store-regained" },
+        EnumName<LogEvent>{ LogEvent::ListTruncated, "list-truncated" },
         EnumName<LogEvent>{ LogEvent::StoreRead, "store-read" },
         EnumName<LogEvent>{ LogEvent::FollowingChanged, "follow-store" },
         EnumName<LogEvent>{ LogEvent::ServicesChanged, "services-in-force" },
@@ -69,6 +71,7 @@
     switch (event) {
     case LogEvent::Paused:
     case LogEvent::StoreLost:
+    case LogEvent::ListTruncated:
     case LogEvent::EntryRefused:
     case LogEvent::LinesDropped:
         return LogLevel::Warning;
--- a/src/link/directorysource.h
+++ b/src/link/directorysource.h
@@ -55,6 +55,7 @@
     ServiceMapPtr services; ///< nullptr when there are none or they have not changed
     std::vector<TargetChange> targets;
     std::vector<RefusedEntry> refused; ///< listed entries that are not used; a known target among them stays as it is
+    bool truncated = false; ///< a read that ended before the end of the list; not complete then
 };
 
 /** How current the result of a read has to be. */
--- a/src/link/jsonfields.cpp
+++ b/src/link/jsonfields.cpp
@@ -35,6 +35,27 @@
                        [](char byte) { return byte >= ' ' && byte <= '~' && byte != '\\' && byte != '"'; });
 }
 
+/** @param text begins with a backslash. @return the length of the escape sequence, of both for a surrogate pair */
+std::size_t escapeLength(std::string_view text)
+{
+    constexpr std::size_t shortEscape = 2;
+    constexpr std::size_t unicodeEscape = 6;
+    if (text.size() < unicodeEscape || text[1] != 'u') {
+        return std::min(text.size(), shortEscape);
+    }
+    constexpr std::string_view highSurrogates = "89abAB";
+    const bool high = (text[2] == 'd' || text[2] == 'D') && highSurrogates.find(text[3]) != std::string_view::npos;
+    const bool pair = high && text.substr(unicodeEscape).starts_with("\\u") && text.size() >= 2 * unicodeEscape;
+    return pair ? 2 * unicodeEscape : unicodeEscape;
+}
+
+/** @return the characters of an escape sequence, or the sequence itself if it is invalid */
+std::string decodedEscape(std::string_view sequence)
+{
+    const Json value = Json::parse('"' + std::string(sequence) + '"', nullptr, false);
+    return value.is_string() ? value.get<std::string>() : std::string(sequence);
+}
+
 /** @return the number if it is written as digits only, as nearly all are; std::nullopt for any other form */
 std::optional<std::int64_t> plainInteger(std::string_view text)
 {
@@ -62,6 +83,21 @@
 
 } // namespace
 
+std::size_t utf8Boundary(std::string_view text, std::size_t position)
+{
+    constexpr unsigned mask = 0xc0;
+    constexpr unsigned continuation = 0x80;
+    constexpr std::size_t maxContinuations = 3;
+    std::size_t boundary = std::min(position, text.size());
+    for (std::size_t i = 0; i < maxContinuations && boundary < text.size(); ++i) {
+        if ((static_cast<unsigned char>(text[boundary]) & mask) != continuation) {
+            break;
+        }
+        ++boundary;
+    }
+    return boundary;
+}
+
 std::optional<JsonFields> JsonFields::of(std::string_view text)
 {
     auto members = sliceObject(text);
@@ -121,6 +157,34 @@
     return text;
 }
 
+std::optional<TextPrefix> JsonFields::textPrefix(std::string_view key, std::size_t maxBytes)
+{
+    const JsonSlice *const slice = require(key);
+    if (!slice) {
+        return std::nullopt;
+    }
+    constexpr std::size_t quotes = 2;
+    if (slice->text.size() < quotes || !slice->text.starts_with('"') || !slice->text.ends_with('"')) {
+        return fail(JsonFieldError::WrongType, key);
+    }
+    std::string_view rest = slice->text.substr(1, slice->text.size() - quotes);
+    TextPrefix prefix;
+    while (!rest.empty() && prefix.text.size() < maxBytes) {
+        std::size_t length = 0;
+        if (rest.front() == '\\') {
+            length = escapeLength(rest);
+            prefix.text += decodedEscape(rest.substr(0, length));
+        } else {
+            const std::size_t plain = std::min(rest.find('\\'), rest.size());
+            length = utf8Boundary(rest.substr(0, plain), maxBytes - prefix.text.size());
+            prefix.text += rest.substr(0, length);
+        }
+        rest.remove_prefix(length);
+    }
+    prefix.complete = rest.empty();
+    return prefix;
+}
+
 std::optional<std::int64_t> JsonFields::integer(std::string_view key, IntegerRange range)
 {
     const JsonSlice *const slice = require(key);
--- a/src/link/jsonfields.h
+++ b/src/link/jsonfields.h
@@ -32,6 +32,16 @@
     };
 };
 
+/** @return the first position at or after `position` that is not within a character of UTF-8 */
+std::size_t utf8Boundary(std::string_view text, std::size_t position);
+
+/** The beginning of a text. */
+struct TextPrefix
+{
+    std::string text;
+    bool complete = true; ///< the text has no more bytes
+};
+
 /** Smallest and largest accepted value of an integer field, both included. */
 struct IntegerRange
 {
@@ -55,6 +65,12 @@
 
     /** @return the decoded text */
     std::optional<std::string> text(std::string_view key);
+    /**
+     * Reads a text of any length. Bytes that are not UTF-8 and invalid escapes stay as they are.
+     *
+     * @return up to `maxBytes` of the decoded text, and the rest of the character there
+     */
+    std::optional<TextPrefix> textPrefix(std::string_view key, std::size_t maxBytes);
     /** @return the number; one that is written with a fraction or an exponent is accepted if it is whole */
     std::optional<std::int64_t> integer(std::string_view key, IntegerRange range = {});
     /** @return the number, `absent` if there is no such field */
--- a/src/service/directorysync.cpp
+++ b/src/service/directorysync.cpp
@@ -97,7 +97,9 @@
                     unreadable.push_back(*entry.target);
                 }
             }
-            const TargetUpdate update{ answer.revision, answer.complete, std::move(answer.targets) };
+            targetsTruncated_ = answer.truncated || (targetsTruncated_ && !answer.complete);
+            const Revision revision = targetsTruncated_ ? targets_.revision() : answer.revision;
+            const TargetUpdate update{ revision, answer.complete, std::move(answer.targets) };
             changed = applyTargets(update, unreadable, now, actions) || changed;
         }
         if (changed && election_.follows() && before.serviceVersion != 0 && before.targets.value != 0) {
--- a/src/service/directorysync.h
+++ b/src/service/directorysync.h
@@ -165,9 +165,14 @@
     /** Asks the store for the changes after the list if no peer confirmed it in time. */
     void confirmByStore(TimePoint now);
     void checkReady(TimePoint now, DirectoryActions &actions);
+    /** @return whether there is something to route with; a truncated list of targets is better than none */
     bool hasContent() const
     {
-        return services_ && targets_.revision().value != 0;
+        return services_ && (hasCompleteTargets() || targets_.size() > 0);
+    }
+    bool hasCompleteTargets() const
+    {
+        return targets_.revision().value != 0;
     }
     DirectoryState state() const;
 
@@ -217,6 +222,7 @@
     std::shared_ptr<const FleetView> view_;
     std::optional<TimePoint> contentSince_; ///< since when services and targets are known
     bool storeLost_ = false; ///< the last call to the store failed
+    bool targetsTruncated_ = false; ///< the store's last list was truncated: entries or changes of others may be missing
     bool askedStoreToConfirm_ = false;
     bool confirmed_ = false;
     bool leaving_ = false;
--- a/src/service/directorysyncpeers.cpp
+++ b/src/service/directorysyncpeers.cpp
@@ -125,7 +125,7 @@
     const bool anyBehind = std::find(behind.begin(), behind.end(), true) != behind.end();
     if (anyBehind && now >= nextCatchUpRequest_) {
         nextCatchUpRequest_ = now + RequestTimeout;
-        const bool justStarted = hasContent() && !ready_;
+        const bool justStarted = hasContent() && hasCompleteTargets() && !ready_;
         actions.emplace_back(
             SendFleetMessage{ { from }, DirectoryRequest{ known.serviceVersion, targets_.revision(), justStarted } });
     }
@@ -137,6 +137,7 @@
     bool changed = content.services && applyServices(content.services, actions);
     // Ignores changes that leave a gap after the known list; at the next beacon this balancer requests all of them.
     if (content.targets.complete || (before.targets.value != 0 && content.targetsAfter <= before.targets)) {
+        targetsTruncated_ = targetsTruncated_ && !content.targets.complete;
         changed = applyTargets(content.targets, {}, now, actions) || changed;
         confirmed_ = confirmed_ || hasContent();
     }
@@ -172,8 +173,9 @@
     const std::vector<HostAddress> hosts = peersToAsk();
     if (!hosts.empty()) {
         const DirectoryState known = state();
+        const bool changesOnly = hasContent() && hasCompleteTargets();
         actions.emplace_back(
-            SendFleetMessage{ hosts, DirectoryRequest{ known.serviceVersion, targets_.revision(), hasContent() } });
+            SendFleetMessage{ hosts, DirectoryRequest{ known.serviceVersion, targets_.revision(), changesOnly } });
     }
 }
 
@@ -232,7 +234,7 @@
 {
     DirectoryContent content;
     content.services = services_->version > known.serviceVersion ? services_ : nullptr;
-    if (known.servicesOnly) {
+    if (known.servicesOnly || !hasCompleteTargets()) {
         // Changes after this list; the receiver has an older one and ignores them.
         content.targets.revision = targets_.revision();
         content.targetsAfter = targets_.revision();
--- a/src/service/directorywatcher.cpp
+++ b/src/service/directorywatcher.cpp
@@ -40,13 +40,21 @@
         return false;
     }
     const bool mayBeStale = step_ == Step::StartRead && startFreshness_ == ReadFreshness::MayBeStale;
+    const bool wasRead = step_ == Step::StartRead || step_ == Step::Read;
     lastContact_ = now;
-    currentAt_ = mayBeStale ? currentAt_ : now;
     backoff_ = InitialBackoff;
+    if (answer.truncated) {
+        readAgainAt_ = now + TruncatedRetryDelay;
+    } else if (wasRead) {
+        readAgainAt_.reset();
+    }
+    currentAt_ = mayBeStale || readAgainAt_ ? currentAt_ : now;
     if (!following_) {
         step_ = Step::Idle;
     } else if (mayBeStale) {
         begin(Step::CatchUp, StoreCallReason::CatchUp, now);
+    } else if (readAgainAt_ && now >= *readAgainAt_) {
+        begin(Step::Read, StoreCallReason::Retry, now);
     } else {
         const bool changed = answer.services || !answer.targets.empty();
         begin(Step::Watch, StoreCallReason::Watch, now + (changed ? BatchDelay : Milliseconds(0)));
--- a/src/service/directorywatcher.h
+++ b/src/service/directorywatcher.h
@@ -64,6 +64,8 @@
     static constexpr Milliseconds InitialBackoff{ 50 };
     /** Targets write expired entries again within 2 s of the store's return, so it has to be noticed well before. */
     static constexpr Milliseconds MaxBackoff{ 800 };
+    /** After a truncated list, how long a follower waits before it reads the part again. */
+    static constexpr Milliseconds TruncatedRetryDelay{ 2000 };
     /** A list that was read this recently need not be read again when this balancer begins to follow the store. */
     static constexpr Milliseconds RecentRead{ 2000 };
 
@@ -146,6 +148,7 @@
     Milliseconds backoff_ = InitialBackoff;
     std::optional<TimePoint> lastContact_;
     std::optional<TimePoint> currentAt_;
+    std::optional<TimePoint> readAgainAt_; ///< set after a truncated list
 };
 
 } // namespace poplarroad
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -37,6 +37,7 @@
         return applied;
     }
     const bool first = revision_.value == 0;
+    const bool wasEmpty = entries_.empty();
     firstListAt_ = firstListAt_.value_or(now);
     for (const TargetChange &change : update.changes) {
         applyChange(change, update, now, applied);
@@ -66,7 +67,7 @@
     }
     revision_ = update.revision;
     applied.revision = revision_;
-    applied.complete = first && update.complete;
+    applied.complete = first && update.complete && wasEmpty;
     return applied;
 }
 
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -36,6 +36,9 @@
     /**
      * Applies an update from the store or from a peer.
      *
+     * A truncated list, and changes that follow it, are applied at the revision of this replica: they vouch for no
+     * revision, as entries may be missing.
+     *
      * @param unreadable targets whose entries exist but cannot be read; they keep their last valid state, since a write
      *     by another program says nothing about the target
      * @return the changes for the readers of the list
@@ -49,9 +52,12 @@
     {
         return revision_;
     }
-    /** @return the revision of the last change */
+    /** @return the revision of the last change; 0 before the first complete list */
     Revision lastChange() const
     {
+        if (revision_.value == 0) {
+            return {};
+        }
         return log_.empty() ? logStart_ : log_.back().position;
     }
     /** @return a number that is equal for lists with the same present entries */
--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -108,6 +108,88 @@
     return sync;
 }
 
+/** A balancer that has just started, and what it did so far. */
+struct StartingBalancer
+{
+    StartingBalancer()
+        : sync(identity(), 1, at(0))
+    {
+        sync.onTimer(at(0), actions);
+    }
+
+    static DirectoryIdentity identity()
+    {
+        DirectoryIdentity identity;
+        identity.self = lowAddress;
+        identity.rank = 10;
+        identity.seeds = { highAddress };
+        identity.contentBytesPerSecond = 1e6;
+        return identity;
+    }
+    /** Answers the last call for a part. */
+    void answer(DirectoryPart part, const DirectoryResult &result, TimePoint now)
+    {
+        std::optional<std::uint64_t> number;
+        for (const DirectoryAction &action : actions) {
+            const auto *call = std::get_if<CallStore>(&action);
+            if (call && call->part == part) {
+                number = call->due.number;
+            }
+        }
+        REQUIRE(number);
+        sync.onStoreAnswer(part, *number, result, now, actions);
+    }
+    template<typename Action>
+    std::vector<Action> all() const
+    {
+        std::vector<Action> result;
+        for (const DirectoryAction &action : actions) {
+            if (const auto *matching = std::get_if<Action>(&action)) {
+                result.push_back(*matching);
+            }
+        }
+        return result;
+    }
+    template<typename Message>
+    std::vector<Message> sent() const
+    {
+        std::vector<Message> result;
+        for (const SendFleetMessage &send : all<SendFleetMessage>()) {
+            if (const auto *message = std::get_if<Message>(&send.message)) {
+                result.push_back(*message);
+            }
+        }
+        return result;
+    }
+    void runUntil(TimePoint end)
+    {
+        for (TimePoint now = std::max(sync.nextTimer(), at(0)); now <= end; now = sync.nextTimer()) {
+            sync.onTimer(now, actions);
+        }
+    }
+
+    DirectorySync sync;
+    DirectoryActions actions;
+};
+
+DirectoryResult servicesAt(std::uint64_t revision)
+{
+    DirectoryResult answer = answerAt(revision);
+    auto services = std::make_shared<ServiceMap>();
+    services->version = 3;
+    answer.services = services;
+    answer.complete = true;
+    return answer;
+}
+
+DirectoryResult truncatedList(std::uint64_t revision, std::vector<TargetChange> list)
+{
+    DirectoryResult answer = answerAt(revision);
+    answer.targets = std::move(list);
+    answer.truncated = true;
+    return answer;
+}
+
 /** What a balancer does when it hears a beacon. */
 struct Reaction
 {
@@ -274,6 +356,105 @@
     }
 }
 
+TEST_CASE("a follower watches after a truncated list, and reads the list again after a while")
+{
+    DirectoryWatcher watcher = followingWatcher();
+    CHECK(watcher.onAnswer(watcher.next(at(0))->number, truncatedList(7, {}), at(4)));
+    CHECK_FALSE(watcher.currentAt());
+    std::uint64_t reads = 0;
+    for (TimePoint now = at(4); now <= at(10'000); now += wait) {
+        const auto due = watcher.next(now);
+        REQUIRE(due);
+        reads += isCompleteRead(due) ? 1 : 0;
+        watcher.onAnswer(due->number, isCompleteRead(due) ? truncatedList(7, {}) : answerAt(7), now + wait);
+    }
+    CHECK(reads >= 3);
+    CHECK(reads <= 5);
+    DirectoryResult whole = answerAt(9);
+    whole.complete = true;
+    for (TimePoint now = at(12'000); !watcher.currentAt(); now += wait) {
+        const auto due = watcher.next(now);
+        REQUIRE(due);
+        watcher.onAnswer(due->number, isCompleteRead(due) ? whole : answerAt(7), now);
+    }
+    CHECK_FALSE(isCompleteRead(watcher.next(at(60'000))));
+}
+
+// Guards against a truncated first list that counts as the whole one, after which nothing asked for the missing targets.
+TEST_CASE("a truncated first list is routed with, but is neither confirmed nor passed on, and a peer completes it")
+{
+    StartingBalancer balancer;
+    balancer.answer(DirectoryPart::Services, servicesAt(5), at(4));
+    balancer.answer(DirectoryPart::Targets, truncatedList(5, { present(1, 3) }), at(8));
+    REQUIRE(balancer.all<PublishTargets>().size() == 1);
+    CHECK_FALSE(balancer.all<PublishTargets>().front().update.complete);
+    CHECK(balancer.sync.targets().lastChange() == Revision{ 0 });
+    CHECK_FALSE(balancer.sync.ready());
+    balancer.runUntil(at(700));
+    const auto requests = balancer.sent<DirectoryRequest>();
+    REQUIRE_FALSE(requests.empty());
+    CHECK(requests.back().targets == Revision{ 0 });
+    CHECK_FALSE(requests.back().changesOnly);
+    SECTION("a peer has the whole list")
+    {
+        DirectoryContent content;
+        content.targets = completeList(9, { present(1, 3), present(2, 4) });
+        balancer.sync.onMessage(highAddress, ZoneId{}, content, at(710), balancer.actions);
+        const auto published = balancer.all<PublishTargets>();
+        REQUIRE(published.size() == 2);
+        CHECK_FALSE(published.back().update.complete);
+        REQUIRE(published.back().update.changes.size() == 1);
+        CHECK(published.back().update.changes.front().target.target.id == TargetId{ 2 });
+        CHECK(balancer.sync.targets().revision() == Revision{ 9 });
+        CHECK(balancer.sync.ready());
+    }
+    SECTION("no peer answers")
+    {
+        balancer.runUntil(at(1500));
+        REQUIRE(balancer.sync.ready());
+        CHECK_FALSE(balancer.all<DirectoryReady>().front().confirmed);
+        balancer.actions.clear();
+        balancer.sync.onMessage(highAddress, ZoneId{}, DirectoryRequest{}, at(1510), balancer.actions);
+        const auto content = balancer.sent<DirectoryContent>();
+        REQUIRE(content.size() == 1);
+        CHECK(content.front().services);
+        CHECK_FALSE(content.front().targets.complete);
+        CHECK(content.front().targets.changes.empty());
+    }
+}
+
+TEST_CASE("a truncated list removes no target and does not advance the revision, nor do the changes after it")
+{
+    DirectorySync sync = readySync();
+    DirectoryActions actions;
+    DirectoryContent content;
+    content.targets = completeList(6, { present(1, 3), present(2, 4) });
+    sync.onMessage(highAddress, ZoneId{}, content, at(10), actions);
+    REQUIRE(sync.targets().size() == 2);
+    sync.onTimer(at(3000), actions);
+    sync.onTimer(at(3000) + DirectoryElection::UnjoinedDelay, actions);
+    REQUIRE(sync.follows());
+    const auto answerLast = [&](DirectoryResult result, TimePoint now) {
+        std::optional<std::uint64_t> number;
+        for (const DirectoryAction &action : actions) {
+            const auto *call = std::get_if<CallStore>(&action);
+            number = call && call->part == DirectoryPart::Targets ? std::optional(call->due.number) : number;
+        }
+        REQUIRE(number);
+        actions.clear();
+        sync.onStoreAnswer(DirectoryPart::Targets, *number, std::move(result), now, actions);
+    };
+    answerLast(truncatedList(20, { present(1, 15, TargetState::Draining) }), at(4210));
+    CHECK(sync.targets().size() == 2);
+    CHECK(sync.targets().revision() == Revision{ 6 });
+    sync.onTimer(at(4400), actions);
+    DirectoryResult change = answerAt(22);
+    change.targets = { present(3, 22) };
+    answerLast(change, at(4410));
+    CHECK(sync.targets().size() == 3);
+    CHECK(sync.targets().revision() == Revision{ 6 });
+}
+
 TEST_CASE("a balancer follows the store when no follower with recent contact is heard")
 {
     DirectoryElection election(lowAddress, 10, at(0));
--- a/tests/oddentries_tests.cpp
+++ b/tests/oddentries_tests.cpp
@@ -139,7 +139,7 @@
                 CHECK(answer.targets[1].target.target.id == TargetId{ 2 });
                 CHECK(answer.refused.size() == 1);
             }
-            CHECK_FALSE(page.lastName.empty());
+            CHECK_FALSE(page.continueAfter.empty());
         }
     }
 }
--- a/tests/platformadapter_tests.cpp
+++ b/tests/platformadapter_tests.cpp
@@ -124,7 +124,7 @@
     const StorePage page = decodeList(DirectoryPart::Targets, body);
     REQUIRE_FALSE(page.answer.error);
     CHECK(page.truncated);
-    CHECK(page.lastName == "i-6");
+    CHECK(page.continueAfter == "i-6");
     CHECK(page.answer.revision == Revision{ 530 });
     CHECK(page.answer.refused.size() == 5);
     REQUIRE(page.answer.targets.size() == 2);
--- a/tests/storedirectory_tests.cpp
+++ b/tests/storedirectory_tests.cpp
@@ -107,6 +107,72 @@
     CHECK(result.refused.size() == 20);
 }
 
+// Guards against lists that end at a page of another program's entries, which left balancers without targets.
+TEST_CASE("a page of entries with long names hides none of the targets after it")
+{
+    for (const std::size_t length : { 129U, 156U, 1023U, 1024U, 1025U, 5000U, 200'000U }) {
+        CAPTURE(length);
+        TestStore store;
+        for (std::size_t i = 0; i < 2 * pageSize; ++i) {
+            store.contents.put("servers", std::string(length - 2, 'e') + std::to_string(10 + i), std::string("{}"));
+            store.contents.put("servers", entryName(i), specOf(i));
+        }
+        const DirectoryResult result = store.read(DirectoryPart::Targets);
+        CHECK_FALSE(result.error);
+        CHECK(result.complete);
+        CHECK(result.targets.size() == 2 * pageSize);
+    }
+}
+
+TEST_CASE("a page of entries whose long names need escapes or several bytes a character hides no target")
+{
+    for (const std::string &character : { std::string("\""), std::string("\xc3\xa4"), std::string("\xf0\x9f\x8c\xb2"),
+                                          std::string("\\u"), std::string("\n"), std::string(1, '\x7f') }) {
+        CAPTURE(character);
+        TestStore store;
+        std::string name = "a";
+        while (name.size() < 1500) {
+            name += character;
+        }
+        for (std::size_t i = 0; i < pageSize; ++i) {
+            store.contents.put("servers", name.substr(0, 1 + character.size() * (200 + i)), std::string("{}"));
+            store.contents.put("servers", entryName(i), specOf(i));
+        }
+        const DirectoryResult result = store.read(DirectoryPart::Targets);
+        CHECK(result.complete);
+        CHECK(result.targets.size() == pageSize);
+    }
+}
+
+TEST_CASE("an entry as large as a page hides none of the targets after it")
+{
+    TestStore store;
+    constexpr std::size_t rowBytes = 1'048'000;
+    const std::string rows(rowBytes, 'x');
+    store.contents.put("servers", "export-" + std::string(149, 'x'), R"({"rows":")" + rows + R"("})");
+    for (std::size_t i = 0; i < 30; ++i) {
+        store.contents.put("servers", entryName(i), specOf(i));
+    }
+    const DirectoryResult result = store.read(DirectoryPart::Targets);
+    CHECK(result.complete);
+    CHECK(result.targets.size() == 30);
+}
+
+TEST_CASE("objects with long names hide neither the services nor are they read beyond them")
+{
+    TestStore store;
+    for (std::size_t i = 0; i < 3 * pageSize; ++i) {
+        store.contents.put("config", (i < pageSize ? "archive-" : "z") + std::string(200, 'x') + std::to_string(i),
+                           std::string("{}"));
+    }
+    store.contents.put("config", "main", std::string(R"({"version":3,"routes":[]})"));
+    const DirectoryResult result = store.read(DirectoryPart::Services);
+    REQUIRE(result.services);
+    CHECK(result.services->version == 3);
+    CHECK(result.complete);
+    CHECK(store.server.calls() == 2);
+}
+
 TEST_CASE("a name with reserved characters at the end of a page is encoded in the next call")
 {
     TestStore store;
