Identify the target of an entry by the full name of the entry

Cause: entries were mapped to targets by the hexadecimal digits after the last dash of their name, which packets to the target carry. Written, refused and deleted entries of other names with these digits all meant the target.

Change: TargetId is the hash of the full name, the number a field of the target that only packets use, and one function maps names for all three kinds of change. Two listed names with one number are two targets; the one known for longer gets the new flows, and the end of one of two names of the same process resets nothing. Content for peers has a new message kind, since the IDs differ from those of earlier versions.

The expectations of platformadapter_tests, oddentries_tests, hostileplatform_tests and emulator_tests that named the ID by its digits now check the ID of the name, and platformadapter_tests the number besides.

--- a/include/poplarroad/directory.h
+++ b/include/poplarroad/directory.h
@@ -111,7 +111,7 @@
 {
     Revision revision; ///< store revision that contains the change
     ListingState listing = ListingState::Present;
-    ListedTarget target; ///< for a removed target, only the id is set
+    ListedTarget target; ///< for a removed target, only the id is meaningful
 
     friend bool operator==(const TargetChange &, const TargetChange &) = default;
 };
--- a/include/poplarroad/target.h
+++ b/include/poplarroad/target.h
@@ -36,6 +36,7 @@
     std::uint16_t slots = 1; ///< maximum number of concurrent requests
     std::uint32_t connections = 2000; ///< maximum number of long-lived connections
     TargetState state = TargetState::Active;
+    std::uint64_t number = 0; ///< identifies the target in packets to it; 0 if they need none. Targets can share it
 
     friend bool operator==(const Target &, const Target &) = default;
 };
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -36,9 +36,11 @@
 
     directoryBeacon @23 :DirectoryBeacon;
     directoryRequest @24 :DirectoryRequest;
-    directoryContent @25 :DirectoryContent;
+    # Target IDs were the numbers in their names.
+    obsoleteDirectoryContent @25 :DirectoryContent;
     loadReport @26 :List(TargetLoad);
     zoneIntroduction @27 :List(Address);
+    directoryContent @28 :DirectoryContent;
   }
 }
 
@@ -266,6 +268,7 @@
   state @9 :UInt8;
   listing @10 :UInt8;
   name @11 :Text;
+  number @12 :UInt64;
 }
 
 # Services are left out when the receiver has them.
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -181,7 +181,7 @@
     const bool logsEntries = !published.update.complete;
     for (const TargetChange &change : logsEntries ? published.update.changes : std::vector<TargetChange>()) {
         log_.write(LogEvent::TargetEntryChanged, now(),
-                   { { "target", static_cast<std::int64_t>(change.target.target.id.value) },
+                   { { "target", static_cast<std::int64_t>(change.target.target.number) },
                      { "name", change.target.target.name },
                      { "listing", nameOf(change.listing) },
                      { "state", change.listing == ListingState::Gone ? "" : nameOf(change.target.target.state) },
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -168,7 +168,7 @@
     log_.write(LogEvent::FlowPlaced, time,
                { { "caller", toString(packet.flow.caller) },
                  { "service", toString(packet.flow.service) },
-                 { "target", static_cast<std::int64_t>(forward.target->id.value) },
+                 { "target", static_cast<std::int64_t>(forward.target->number) },
                  { "copy", packet.acknowledged },
                  { "busy", target.busyFlows },
                  { "busy_elsewhere", target.peerBusyFlows },
@@ -189,8 +189,10 @@
 void PacketTask::logLivenessChanges(TimePoint time)
 {
     for (const LivenessChange &change : router_.takeLivenessChanges()) {
+        const auto index = router_.targets().find(change.target);
+        const std::uint64_t number = index ? router_.targets().at(*index).listed.target.number : 0;
         log_.write(LogEvent::TargetLivenessChanged, time,
-                   { { "target", static_cast<std::int64_t>(change.target.value) },
+                   { { "target", static_cast<std::int64_t>(number) },
                      { "belief", nameOf(change.liveness) },
                      { "repeating", change.retransmittingFlows },
                      { "since_progress_ms", change.sinceProgressMs } });
--- a/src/link/wirefleet.cpp
+++ b/src/link/wirefleet.cpp
@@ -104,6 +104,7 @@
     to.setState(static_cast<std::uint8_t>(listed.target.state));
     to.setListing(static_cast<std::uint8_t>(change.listing));
     to.setName(listed.target.name);
+    to.setNumber(listed.target.number);
 }
 
 TargetChange readTarget(schema::ListedTarget::Reader from)
@@ -116,6 +117,7 @@
     listed.warmup = Milliseconds(from.getWarmupMs());
     listed.target.id = TargetId{ from.getId() };
     listed.target.name = from.getName();
+    listed.target.number = from.getNumber();
     listed.target.service = ServiceId{ from.getService() };
     listed.target.zone = ZoneId{ from.getZone() };
     listed.target.address = { from.getIp(), from.getPort() };
--- a/src/service/directorysyncpeers.cpp
+++ b/src/service/directorysyncpeers.cpp
@@ -17,7 +17,7 @@
 /** Encoded size of a route that shares its group with many others. */
 constexpr std::size_t EncodedRouteBytes = 8;
 /** Encoded size of a target. */
-constexpr std::size_t EncodedTargetBytes = 88;
+constexpr std::size_t EncodedTargetBytes = 96;
 /** Encoded size of a message without routes and targets. */
 constexpr std::size_t EncodedMessageBytes = 100;
 
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -78,7 +78,7 @@
     targets_.apply(changes, complete, now);
     for (const TargetChange &change : changes) {
         const auto index = targets_.find(change.target.target.id);
-        if (index && change.listing == ListingState::Gone) {
+        if (index && change.listing == ListingState::Gone && !targets_.twinOf(*index)) {
             failedTargets_.insert(*index);
             nextTimer_ = now;
         }
@@ -287,7 +287,7 @@
     const double fraction = busyFraction(candidates);
     for (const TargetIndex index : candidates) {
         const TargetEntry &target = targets_.at(index);
-        if (target.listed.target.state != TargetState::Active || index == avoid || !ownsTag(index)) {
+        if (index == avoid || !acceptsNewFlows(index)) {
             continue;
         }
         double cost = costOf(target, fraction, now);
@@ -318,17 +318,19 @@
     for (const TargetIndex index : candidates) {
         TargetEntry &target = targets_.at(index);
         const bool notAnswering = target.detector.liveness() != TargetLiveness::Answering;
-        if (notAnswering && target.listed.target.state == TargetState::Active && target.listed.target.zone == zone_
-            && ownsTag(index) && target.detector.tryStartTrial(now)) {
+        if (notAnswering && target.listed.target.zone == zone_ && acceptsNewFlows(index)
+            && target.detector.tryStartTrial(now)) {
             return index;
         }
     }
     return std::nullopt;
 }
 
-bool FlowRouter::ownsTag(TargetIndex index) const
+bool FlowRouter::acceptsNewFlows(TargetIndex index) const
 {
-    return targets_.find(targets_.at(index).tag) == index;
+    const TargetEntry &target = targets_.at(index);
+    return target.listed.target.state == TargetState::Active && targets_.ownsNumber(index)
+        && targets_.find(target.tag) == index;
 }
 
 double FlowRouter::busyFraction(const std::vector<TargetIndex> &targets) const
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -171,8 +171,8 @@
      */
     std::optional<TargetIndex> chooseTrialTarget(const ServiceRoute &route, const std::vector<TargetIndex> &candidates,
                                                  std::optional<TargetIndex> avoid, TimePoint now);
-    /** @return whether packets with the target's tag go to it; of two targets that share a tag, one gets no flows */
-    bool ownsTag(TargetIndex index) const;
+    /** @return whether the target is active and keeps what identifies it in packets; see TargetTable::ownsNumber() */
+    bool acceptsNewFlows(TargetIndex index) const;
     /** @return fraction of the flows of these targets that wait for an answer */
     double busyFraction(const std::vector<TargetIndex> &targets) const;
     /** @return requests per slot at a target, both waiting and running */
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -154,7 +154,7 @@
         applied.changes.push_back({ gone.revision, ListingState::Expired, entry.target });
         keepExpired(id, std::move(entry), now);
     } else {
-        applied.changes.push_back(gone);
+        applied.changes.push_back({ gone.revision, ListingState::Gone, std::move(entry.target) });
     }
 }
 
@@ -186,10 +186,8 @@
         const auto entry = expired_.find(target);
         // An entry that expired again since has a later deadline.
         if (entry != expired_.end() && entry->second.graceUntil <= now) {
+            applied.changes.push_back({ revision_, ListingState::Gone, std::move(entry->second.target) });
             expired_.erase(entry);
-            TargetChange gone{ revision_, ListingState::Gone, {} };
-            gone.target.target.id = target;
-            applied.changes.push_back(std::move(gone));
         }
     }
     return applied;
--- a/src/target/targettable.cpp
+++ b/src/target/targettable.cpp
@@ -3,6 +3,8 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 
 namespace poplarroad
 {
@@ -47,6 +49,10 @@
         entries_.emplace_back();
     }
     TargetEntry &entry = entries_[index.value];
+    if (found == byId_.end()) {
+        entry.knownSince = now;
+    }
+    claimNumber(index, change.target.target.number);
     const bool newInstance = found == byId_.end() || entry.listed.instance != change.target.instance;
     const bool relisted = entry.listing != ListingState::Present && change.listing == ListingState::Present;
     if (newInstance || entry.listing != change.listing) {
@@ -76,6 +82,7 @@
     for (auto it = byId_.begin(); it != byId_.end();) {
         const TargetEntry &entry = entries_[it->second.value];
         if (entry.listing == ListingState::Gone && entry.flows == 0 && now - entry.listingSince > GoneRetention) {
+            claimNumber(it->second, 0);
             freeIndexes_.push_back(it->second);
             byId_.erase(it++);
         } else {
@@ -110,7 +117,62 @@
 std::optional<TargetIndex> TargetTable::find(PacketTag tag) const
 {
     const auto found = byTag_.find(tag);
-    return found == byTag_.end() ? std::nullopt : std::optional(found->second);
+    if (found == byTag_.end()) {
+        return std::nullopt;
+    }
+    return isListed(found->second) ? found->second : twinOf(found->second).value_or(found->second);
+}
+
+void TargetTable::claimNumber(TargetIndex index, std::uint64_t number)
+{
+    std::uint64_t &claimed = entries_[index.value].claimedNumber;
+    if (claimed == number) {
+        return;
+    }
+    if (claimed != 0) {
+        byNumber_.remove(claimed, index);
+    }
+    if (number != 0) {
+        byNumber_.add(number, index);
+    }
+    claimed = number;
+}
+
+bool TargetTable::isSameProcess(TargetIndex first, TargetIndex second) const
+{
+    const ListedTarget &a = at(first).listed;
+    const ListedTarget &b = at(second).listed;
+    return a.target.number == b.target.number && a.target.address == b.target.address && a.instance == b.instance;
+}
+
+bool TargetTable::ownsNumber(TargetIndex index) const
+{
+    const auto precedence = [](const TargetEntry &entry) {
+        const std::string &name = entry.listed.target.name;
+        return std::tuple(entry.knownSince, name.size(), std::string_view(name));
+    };
+    const std::uint64_t number = at(index).claimedNumber;
+    if (!byNumber_.isShared(number)) {
+        return true;
+    }
+    const auto claimants = byNumber_.of(number);
+    return std::none_of(claimants.begin(), claimants.end(), [&](TargetIndex other) {
+        const bool leaves = at(other).listed.target.state == TargetState::Draining && isSameProcess(index, other);
+        return other != index && isListed(other) && (leaves || precedence(at(other)) < precedence(at(index)));
+    });
+}
+
+std::optional<TargetIndex> TargetTable::twinOf(TargetIndex index) const
+{
+    const std::uint64_t number = at(index).claimedNumber;
+    if (!byNumber_.isShared(number)) {
+        return std::nullopt;
+    }
+    const auto claimants = byNumber_.of(number);
+    const auto twin = std::find_if(claimants.begin(), claimants.end(), [&](TargetIndex other) {
+        return other != index && isListed(other) && isSameProcess(index, other);
+    });
+    return twin == claimants.end() ? std::nullopt : std::optional(*twin);
 }
 
 std::optional<TargetIndex> TargetTable::find(TargetId id) const
--- a/src/target/targettable.h
+++ b/src/target/targettable.h
@@ -4,6 +4,7 @@
 #include "poplarroad/directory.h"
 #include "poplarroad/packet.h"
 #include "target/livenessdetector.h"
+#include "target/targetclaims.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -14,15 +15,14 @@
 namespace poplarroad
 {
 
-/** Index of a target in a TargetTable; reused only after GoneRetention and the end of the target's flows. */
-using TargetIndex = Id<struct TargetIndexTag, std::uint32_t>;
-
 /** A listed target with its flow counts and its liveness. */
 struct TargetEntry
 {
     ListedTarget listed;
     PacketTag tag;
     ListingState listing = ListingState::Present;
+    TimePoint knownSince; ///< when the entry was added to the table
+    std::uint64_t claimedNumber = 0; ///< Target::number, by which the table finds the entry
     TimePoint listingSince;
     TimePoint warmupEnd; ///< until then the target runs at reduced speed
     std::uint32_t flows = 0; ///< forwarded by this balancer, including those in the handshake
@@ -56,6 +56,16 @@
     {
         return entries_[index.value];
     }
+    /**
+     * Two entries can have the same number, which packets to a target carry. The one that is known for longer gets the
+     * new flows; of two that became known together, the one with the shorter name, then the smaller one. If they are the
+     * same process and one of them says that it drains, none gets new flows.
+     *
+     * @return whether the target may get new flows as far as its number is concerned
+     */
+    bool ownsNumber(TargetIndex index) const;
+    /** @return a listed target that is the same process under another name, or nothing */
+    std::optional<TargetIndex> twinOf(TargetIndex index) const;
     /** @return the present and expired targets of a service, ordered by id */
     const std::vector<TargetIndex> &ofService(ServiceId service) const;
     const absl::flat_hash_map<TargetId, TargetIndex> &byId() const
@@ -67,12 +77,20 @@
     void addOrUpdate(const TargetChange &change, TimePoint now);
     void remove(TargetIndex index, TimePoint now);
     void rebuildIndexes();
+    /** Records that packets to the target carry this number; 0 withdraws the claim. */
+    void claimNumber(TargetIndex index, std::uint64_t number);
+    bool isSameProcess(TargetIndex first, TargetIndex second) const;
+    bool isListed(TargetIndex index) const
+    {
+        return at(index).listing != ListingState::Gone;
+    }
     void eraseOldGoneTargets(TimePoint now);
 
     std::vector<TargetEntry> entries_;
     std::vector<TargetIndex> freeIndexes_; ///< of erased targets
     absl::flat_hash_map<TargetId, TargetIndex> byId_;
     absl::flat_hash_map<PacketTag, TargetIndex> byTag_;
+    TargetClaims<std::uint64_t> byNumber_;
     absl::flat_hash_map<ServiceId, std::vector<TargetIndex>> byService_;
 };
 
--- a/tests/emulator_tests.cpp
+++ b/tests/emulator_tests.cpp
@@ -234,7 +234,7 @@
     const auto page = platform::decodeList(DirectoryPart::Targets, store.list("servers", ""));
     CHECK_FALSE(page.answer.error);
     REQUIRE(page.answer.targets.size() == 1);
-    CHECK(page.answer.targets[0].target.target.id == TargetId{ 0x7f3a91c2 });
+    CHECK(page.answer.targets[0].target.target.id == targetIdOf("i-7f3a91c2"));
     const std::uint64_t before = store.revision();
     store.erase("servers", "i-7f3a91c2");
     const auto events = platform::decodeEvents(DirectoryPart::Targets, *store.changes("servers", before));
--- a/tests/flowrouter_tests.cpp
+++ b/tests/flowrouter_tests.cpp
@@ -238,6 +238,78 @@
     }
 }
 
+namespace
+{
+
+/** @return an entry with an ID of its own whose packets carry the number 7 */
+TargetChange numbered(std::uint64_t id, const std::string &name, std::uint32_t ip = 0x0a000007)
+{
+    TargetChange change = listed(id);
+    change.target.target.name = name;
+    change.target.target.number = 7;
+    change.target.target.address = { ip, 8080 };
+    change.target.instance = 1;
+    return change;
+}
+
+} // namespace
+
+TEST_CASE("of two entries with the same number the one that is known for longer gets the new flows")
+{
+    FlowRouter router = routerWith({ numbered(1, "i-7") });
+    router.setTargets({ numbered(2, "7") }, false, at(10));
+    for (std::uint16_t port = 0; port < 3; ++port) {
+        CHECK(targetOf(Caller(router, port).open(at(20))) == TargetId{ 1 });
+    }
+    // A balancer that starts sees both at once, and the shorter name decides.
+    FlowRouter started = routerWith({ numbered(1, "i-7"), numbered(2, "audit-i-7") });
+    for (std::uint16_t port = 0; port < 3; ++port) {
+        CHECK(targetOf(Caller(started, port).open(at(20))) == TargetId{ 1 });
+    }
+}
+
+TEST_CASE("the deletion of a copy of an entry resets no flow, as its process is still listed")
+{
+    FlowRouter router = routerWith({ numbered(1, "i-7"), numbered(2, "7") });
+    Caller caller(router, 1000);
+    REQUIRE(targetOf(caller.open(at(0))) == TargetId{ 2 });
+    caller.request(at(5));
+    caller.acknowledge(at(50));
+    TargetChange removed = numbered(2, "7");
+    removed.listing = ListingState::Gone;
+    router.setTargets({ removed }, false, at(100));
+    std::vector<ResetFlow> resets;
+    router.onTimer(at(100), resets);
+    CHECK(resets.empty());
+    CHECK(targetOf(caller.request(at(110))) == TargetId{ 1 });
+    router.setTargets({ gone(1) }, false, at(200));
+    router.onTimer(at(200), resets);
+    CHECK(resets.size() == 1);
+}
+
+TEST_CASE("a process that drains under one of its names gets no new flows under the other")
+{
+    FlowRouter router = routerWith({ numbered(1, "i-7"), numbered(2, "7"), listed(3, otherZone) });
+    TargetChange draining = numbered(1, "i-7");
+    draining.target.target.state = TargetState::Draining;
+    router.setTargets({ draining }, false, at(10));
+    CHECK(targetOf(Caller(router, 1).open(at(20))) == TargetId{ 3 });
+}
+
+TEST_CASE("a number that comes again in another entry does not take over the flows of the earlier target")
+{
+    FlowRouter router = routerWith({ numbered(1, "i-7") });
+    Caller caller(router, 1000);
+    REQUIRE(targetOf(caller.open(at(0))) == TargetId{ 1 });
+    caller.request(at(5));
+    caller.acknowledge(at(50));
+    TargetChange removed = numbered(1, "i-7");
+    removed.listing = ListingState::Gone;
+    router.setTargets({ removed, numbered(2, "j-7", 0x0a000063) }, false, at(100));
+    CHECK(reasonOf(caller.request(at(110))) == ResetReason::TargetGone);
+    CHECK(targetOf(Caller(router, 1001).open(at(120))) == TargetId{ 2 });
+}
+
 TEST_CASE("an established flow keeps its target after a change of its route")
 {
     FlowRouter router = routerWith({ listed(1) });
--- a/tests/hostileplatform_tests.cpp
+++ b/tests/hostileplatform_tests.cpp
@@ -60,7 +60,7 @@
         CHECK_FALSE(page.answer.error);
         CHECK(page.answer.refused.size() == 1);
         REQUIRE(page.answer.targets.size() == 1);
-        CHECK(page.answer.targets.front().target.target.id == TargetId{ 2 });
+        CHECK(page.answer.targets.front().target.target.id == targetIdOf("i-2"));
     }
 }
 
--- a/tests/oddentries_tests.cpp
+++ b/tests/oddentries_tests.cpp
@@ -135,8 +135,8 @@
                 CHECK_FALSE(answer.error);
                 CHECK(answer.revision == Revision{ 9 });
                 REQUIRE(answer.targets.size() == 2);
-                CHECK(answer.targets[0].target.target.id == TargetId{ 1 });
-                CHECK(answer.targets[1].target.target.id == TargetId{ 2 });
+                CHECK(answer.targets[0].target.target.id == targetIdOf("i-1"));
+                CHECK(answer.targets[1].target.target.id == targetIdOf("i-2"));
                 CHECK(answer.refused.size() == 1);
             }
             CHECK_FALSE(page.continueAfter.empty());
@@ -183,7 +183,7 @@
     CHECK(port.name == "i-1f");
     CHECK(port.reason == EntryError::InvalidValue);
     CHECK(port.field == "address");
-    CHECK(port.target == TargetId{ 0x1f });
+    CHECK(port.target == targetIdOf("i-1f"));
     const RefusedEntry slots =
         refusedOf(R"({"service":"s","address":"10.0.0.2:80","zone":"a","maxConcurrency":1e999,"state":"ready"})");
     CHECK(slots.reason == EntryError::UnreadableField);
--- a/tests/packethost_tests.cpp
+++ b/tests/packethost_tests.cpp
@@ -83,6 +83,7 @@
         TargetChange change;
         change.revision = Revision{ 4 };
         change.target.target.id = TargetId{ targetIdValue };
+        change.target.target.number = targetIdValue;
         change.target.target.service = serviceIdOf("stock");
         change.target.target.zone = zoneIdOf("a");
         change.target.target.address = target;
--- a/tests/platformadapter_tests.cpp
+++ b/tests/platformadapter_tests.cpp
@@ -57,7 +57,7 @@
     const std::string datagram = openingPacket();
     REQUIRE(codec.decode(datagram));
     Target target;
-    target.id = TargetId{ 0x7f3a91c2 };
+    target.number = 0x7f3a91c2;
     const PacketHeader head = codec.headerFor(target, PacketTag{ 0x01020304 }, datagram);
     const std::string forwarded = std::string(head.view()) + datagram.substr(head.replacedBytes);
     CHECK(forwarded.substr(0, 8) == bytesOf({ 0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2 }));
@@ -94,15 +94,23 @@
     }));
 }
 
-TEST_CASE("a target's ID is parsed from its name")
+TEST_CASE("a target's number is parsed from its name, and its ID is that of the full name")
 {
-    CHECK(targetIdFromName("i-7f3a91c2") == TargetId{ 0x7f3a91c2 });
-    CHECK(targetIdFromName("i-ab46c8a70f") == TargetId{ 0xab46c8a70f });
-    CHECK(targetIdFromName("0123456789abcdef") == TargetId{ 0x0123456789abcdef });
-    CHECK_FALSE(targetIdFromName("i-"));
-    CHECK_FALSE(targetIdFromName("i-xyz"));
-    CHECK_FALSE(targetIdFromName("i-0123456789abcdef0"));
-    CHECK_FALSE(targetIdFromName(""));
+    const auto numberOf = [](std::string_view name) {
+        const auto identity = targetIdentityOf(name);
+        REQUIRE(identity);
+        CHECK(identity->id == targetIdOf(name));
+        return identity->number;
+    };
+    CHECK(numberOf("i-7f3a91c2") == 0x7f3a91c2);
+    CHECK(numberOf("i-ab46c8a70f") == 0xab46c8a70f);
+    CHECK(numberOf("0123456789abcdef") == 0x0123456789abcdef);
+    CHECK_FALSE(targetIdentityOf("i-"));
+    CHECK_FALSE(targetIdentityOf("i-xyz"));
+    CHECK_FALSE(targetIdentityOf("i-0123456789abcdef0"));
+    CHECK_FALSE(targetIdentityOf(""));
+    CHECK(numberOf("audit-i-7f3a91c2") == numberOf("i-7f3a91c2"));
+    CHECK(targetIdentityOf("audit-i-7f3a91c2")->id != targetIdentityOf("i-7f3a91c2")->id);
 }
 
 TEST_CASE("a list of targets is decoded without its invalid entries")
@@ -129,7 +137,8 @@
     CHECK(page.answer.refused.size() == 5);
     REQUIRE(page.answer.targets.size() == 2);
     const ListedTarget &first = page.answer.targets.front().target;
-    CHECK(first.target.id == TargetId{ 0x7f3a91c2 });
+    CHECK(first.target.id == targetIdOf("i-7f3a91c2"));
+    CHECK(first.target.number == 0x7f3a91c2);
     CHECK(first.target.service == serviceIdOf("a"));
     CHECK(first.target.zone == zoneIdOf("z"));
     CHECK(first.target.slots == 3);
@@ -174,7 +183,7 @@
     CHECK(answer.revision == Revision{ 533 });
     REQUIRE(answer.targets.size() == 2);
     CHECK(answer.targets.front().listing == ListingState::Gone);
-    CHECK(answer.targets.front().target.target.id == TargetId{ 0x7f3a91c2 });
+    CHECK(answer.targets.front().target.target.id == targetIdOf("i-7f3a91c2"));
     CHECK(answer.targets.back().listing == ListingState::Present);
 }
 
--- a/tests/wirefleet_tests.cpp
+++ b/tests/wirefleet_tests.cpp
@@ -50,6 +50,7 @@
     change.target.target.zone = zoneIdOf("z");
     change.target.target.address = { 0x0a000001, 8080 };
     change.target.target.slots = 3;
+    change.target.target.number = 0xab46c8a70f + id;
     change.target.target.state = TargetState::Draining;
     return change;
 }
