Give flows only tags that no other known target has

Cause: one tag for each target, of an exclusive or of its number; of two targets with a tag the one that was listed for longer owned it, and that time began anew when an entry expired and returned.

Evidence: the numbers 0x0100000005 and 0x0200000006 fold to the same tag; the first case of sharedtags_tests replays the order of events on the balancer that opened the flow and on one that starts.

Change: three tags for each target; a flow gets one that no other known target has. A tag that was given out before belongs to the listed target whose process started first, which expiry and return do not change and which every balancer reads from the entries. The soak has targets with structured numbers, and outages in which entries expire.

The test that only one of two targets with a shared tag gets flows is replaced: both do, and every balancer finds the target of each flow. packethost_tests compares the tag with packetTagOf().

sharedtags_tests: its first case failed before (2 of 4 checks).

--- a/include/poplarroad/packet.h
+++ b/include/poplarroad/packet.h
@@ -4,6 +4,7 @@
 #include "poplarroad/host.h"
 #include "poplarroad/id.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -40,11 +41,16 @@
  */
 using PacketTag = Id<struct PacketTagTag, std::uint32_t>;
 
-/** @return the tag of a target; never the empty tag (0) */
-constexpr PacketTag packetTagOf(TargetId target)
+/** Tags of one target. Of them, only those that no other target has are given to flows. */
+using PacketTags = std::array<PacketTag, 3>;
+
+/** @return the tags of a target, the same on every balancer; different from each other and never empty (0) */
+PacketTags packetTagsOf(TargetId target);
+
+/** @return the tag that a target uses unless another target has it too */
+inline PacketTag packetTagOf(TargetId target)
 {
-    const auto folded = static_cast<std::uint32_t>(target.value ^ (target.value >> 32U));
-    return PacketTag{ folded == 0 ? 1U : folded };
+    return packetTagsOf(target).front();
 }
 
 /** Header of a packet from a caller. */
--- a/src/host/packetmetrics.h
+++ b/src/host/packetmetrics.h
@@ -18,6 +18,7 @@
     ReasonCounter<PacketError> refused;
     LatencyHistogram timerDelays; ///< delay of the task's timer after its deadline
     Gauge flows; ///< number of flows that this balancer forwards
+    Gauge sharedTags; ///< number of tags that several targets have
     std::array<Gauge, EnumNames<TargetLiveness>::table.size()> targets; ///< number of targets by liveness
 };
 
@@ -41,6 +42,7 @@
     writer.counter("packet_refusals", packets.refused);
     writer.histogram("timer_delay_seconds", packets.timerDelays);
     writer.gauge("flows", packets.flows.value());
+    writer.gauge("shared_tags", packets.sharedTags.value());
     writer.gauge<TargetLiveness>("targets", "belief", packets.targets);
     writer.counter("store_errors", directory.storeErrors);
     writer.counter("store_calls_by_reason", directory.storeCallReasons);
--- a/src/host/packettask.cpp
+++ b/src/host/packettask.cpp
@@ -220,6 +220,7 @@
 void PacketTask::updateGauges()
 {
     metrics_.flows.set(static_cast<std::int64_t>(router_.flows()));
+    metrics_.sharedTags.set(static_cast<std::int64_t>(router_.targets().sharedTags()));
     std::array<std::int64_t, EnumNames<TargetLiveness>::table.size()> targets{};
     for (const auto &[id, index] : router_.targets().byId()) {
         const TargetEntry &target = router_.targets().at(index);
--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -111,7 +111,7 @@
     PacketFlow *existing = flows_.find(packet.flow);
     if (existing && existing->sent == packet.sequence && !existing->established) {
         if (now - existing->openedAt < MinOpeningTimeout) {
-            return forward(existing->target);
+            return forward(existing->target, packet.tag);
         }
         // A retransmission: the first target did not answer in the usual time.
         observeRetransmission(packet.flow, *existing, now);
@@ -120,7 +120,7 @@
             flows_.reassign(*existing, *alternative);
         }
         existing->lastPacket = now;
-        return forward(existing->target);
+        return forward(existing->target, packet.tag);
     }
     const auto target = chooseTarget(route, packet, std::nullopt, now);
     if (!target) {
@@ -133,12 +133,15 @@
     flow.sent = packet.sequence;
     // The first request follows within a round trip; counting it now reserves its capacity against other new flows.
     flows_.setBusy(flow, true, now);
-    return forward(*target);
+    return forward(*target, packet.tag);
 }
 
 PacketDecision FlowRouter::onFlowPacket(const Packet &packet, const ServiceRoute &route, TimePoint now)
 {
-    const auto target = targets_.find(packet.tag);
+    PacketFlow *flow = flows_.find(packet.flow);
+    // Of a tag that several targets have, the flow itself tells which one is meant, if it is known here.
+    const bool isKnown = flow && flow->established && targets_.sharesTag(flow->target, packet.tag);
+    const auto target = isKnown ? std::optional(flow->target) : targets_.find(packet.tag);
     if (!target) {
         return DropPacket{ DropReason::UnknownTag };
     }
@@ -146,11 +149,10 @@
         flows_.remove(packet.flow);
         return ResetFlow{ packet.flow, packet.acknowledged, ResetReason::TargetGone };
     }
-    PacketFlow *flow = flows_.find(packet.flow);
     if (packet.finishes || packet.resets) {
         targets_.at(*target).detector.onFlowEnded(packet.flow.hash());
         flows_.remove(packet.flow);
-        return forward(*target);
+        return forward(*target, packet.tag);
     }
     if (!flow || flow->target != *target) {
         flow = &flows_.add(packet.flow, *target, route.kind, now);
@@ -166,7 +168,7 @@
         flows_.remove(packet.flow);
         return ResetFlow{ packet.flow, packet.acknowledged, ResetReason::TargetSilent };
     }
-    return forward(*target);
+    return forward(*target, packet.tag);
 }
 
 void FlowRouter::observePacket(PacketFlow &flow, const Packet &packet, TimePoint now)
@@ -330,7 +332,7 @@
 {
     const TargetEntry &target = targets_.at(index);
     return target.listed.target.state == TargetState::Active && targets_.ownsNumber(index)
-        && targets_.find(target.tag) == index;
+        && targets_.ownTag(index) != PacketTag{};
 }
 
 double FlowRouter::busyFraction(const std::vector<TargetIndex> &targets) const
@@ -360,10 +362,12 @@
     return target.listed.target.zone == zone_ ? cost : cost + OtherZonePenalty;
 }
 
-ForwardPacket FlowRouter::forward(TargetIndex target) const
+ForwardPacket FlowRouter::forward(TargetIndex target, PacketTag received) const
 {
     const TargetEntry &entry = targets_.at(target);
-    return { &entry.listed.target, entry.tag };
+    const PacketTag own = targets_.ownTag(target);
+    const PacketTag fallback = received == PacketTag{} ? entry.tags.front() : received;
+    return { &entry.listed.target, own == PacketTag{} ? fallback : own };
 }
 
 void FlowRouter::onTimer(TimePoint now, std::vector<ResetFlow> &resets)
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -179,7 +179,8 @@
     double requestsPerSlot(const TargetEntry &target, TimePoint now) const;
     /** @return expected requests per slot, plus the penalty for a target of another zone */
     double costOf(const TargetEntry &target, double busyFraction, TimePoint now) const;
-    ForwardPacket forward(TargetIndex target) const;
+    /** @param received tag of the packet; its flow continues with one that only the target has, if there is one */
+    ForwardPacket forward(TargetIndex target, PacketTag received) const;
 
     ZoneId zone_;
     SeededRandom random_;
--- a/src/target/targettable.cpp
+++ b/src/target/targettable.cpp
@@ -51,6 +51,10 @@
     TargetEntry &entry = entries_[index.value];
     if (found == byId_.end()) {
         entry.knownSince = now;
+        entry.tags = packetTagsOf(id);
+        for (const PacketTag tag : entry.tags) {
+            byTag_.add(tag, index);
+        }
     }
     claimNumber(index, change.target.target.number);
     const bool newInstance = found == byId_.end() || entry.listed.instance != change.target.instance;
@@ -63,7 +67,6 @@
     }
     entry.listed = change.target;
     entry.listing = change.listing;
-    entry.tag = packetTagOf(id);
     entry.warmupEnd = now + change.target.warmup;
     byId_[id] = index;
 }
@@ -83,6 +86,9 @@
         const TargetEntry &entry = entries_[it->second.value];
         if (entry.listing == ListingState::Gone && entry.flows == 0 && now - entry.listingSince > GoneRetention) {
             claimNumber(it->second, 0);
+            for (const PacketTag tag : entry.tags) {
+                byTag_.remove(tag, it->second);
+            }
             freeIndexes_.push_back(it->second);
             byId_.erase(it++);
         } else {
@@ -93,7 +99,6 @@
 
 void TargetTable::rebuildIndexes()
 {
-    byTag_.clear();
     byService_.clear();
     std::vector<std::pair<TargetId, TargetIndex>> ordered(byId_.begin(), byId_.end());
     std::sort(ordered.begin(), ordered.end());
@@ -102,25 +107,36 @@
         if (entry.listing != ListingState::Gone) {
             byService_[entry.listed.target.service].push_back(index);
         }
-        // Tags can collide: the target that was listed first keeps the tag, as it may have flows; the other gets no new
-        // flows.
-        const auto [found, inserted] = byTag_.try_emplace(entry.tag, index);
-        if (!inserted) {
-            const TargetEntry &other = entries_[found->second.value];
-            const bool replaces = other.listing == ListingState::Gone
-                || (entry.listing != ListingState::Gone && entry.listingSince < other.listingSince);
-            found->second = replaces ? index : found->second;
-        }
     }
 }
 
 std::optional<TargetIndex> TargetTable::find(PacketTag tag) const
 {
-    const auto found = byTag_.find(tag);
-    if (found == byTag_.end()) {
+    const auto claimants = byTag_.of(tag);
+    if (claimants.empty()) {
         return std::nullopt;
     }
-    return isListed(found->second) ? found->second : twinOf(found->second).value_or(found->second);
+    const auto precedence = [this](TargetIndex index) {
+        const ListedTarget &listed = at(index).listed;
+        return std::tuple(!isListed(index), listed.instance, listed.target.id);
+    };
+    const TargetIndex owner = *std::min_element(claimants.begin(), claimants.end(), [&](TargetIndex a, TargetIndex b) {
+        return precedence(a) < precedence(b);
+    });
+    return isListed(owner) ? owner : twinOf(owner).value_or(owner);
+}
+
+PacketTag TargetTable::ownTag(TargetIndex index) const
+{
+    const PacketTags &tags = at(index).tags;
+    const auto own = std::find_if(tags.begin(), tags.end(), [&](PacketTag tag) { return !byTag_.isShared(tag); });
+    return own == tags.end() ? PacketTag{} : *own;
+}
+
+bool TargetTable::sharesTag(TargetIndex index, PacketTag tag) const
+{
+    const PacketTags &tags = at(index).tags;
+    return byTag_.isShared(tag) && std::find(tags.begin(), tags.end(), tag) != tags.end();
 }
 
 void TargetTable::claimNumber(TargetIndex index, std::uint64_t number)
--- a/src/target/targettable.h
+++ b/src/target/targettable.h
@@ -19,7 +19,7 @@
 struct TargetEntry
 {
     ListedTarget listed;
-    PacketTag tag;
+    PacketTags tags{};
     ListingState listing = ListingState::Present;
     TimePoint knownSince; ///< when the entry was added to the table
     std::uint64_t claimedNumber = 0; ///< Target::number, by which the table finds the entry
@@ -45,8 +45,23 @@
      * @param complete the changes are the whole list: targets that are not in it become ListingState::Gone
      */
     void apply(const std::vector<TargetChange> &changes, bool complete, TimePoint now);
-    /** @return the target that gets the packets with this tag, or nothing if the tag is unknown */
+    /**
+     * Of several targets with the tag, the listed ones go first, then the one whose process started first. That order is
+     * the same on every balancer, and an entry that expires and returns keeps its place in it: the later process was
+     * never given the tag while the other one was known.
+     *
+     * @return the target that gets the packets with this tag, or nothing if the tag is unknown
+     */
     std::optional<TargetIndex> find(PacketTag tag) const;
+    /** @return a tag that no other known target has, for the flows of this one; empty if there is none */
+    PacketTag ownTag(TargetIndex index) const;
+    /** @return whether several targets have the tag, one of which is this one */
+    bool sharesTag(TargetIndex index, PacketTag tag) const;
+    /** @return the number of tags that several targets have */
+    std::size_t sharedTags() const
+    {
+        return byTag_.sharedKeys();
+    }
     std::optional<TargetIndex> find(TargetId id) const;
     TargetEntry &at(TargetIndex index)
     {
@@ -89,7 +104,7 @@
     std::vector<TargetEntry> entries_;
     std::vector<TargetIndex> freeIndexes_; ///< of erased targets
     absl::flat_hash_map<TargetId, TargetIndex> byId_;
-    absl::flat_hash_map<PacketTag, TargetIndex> byTag_;
+    TargetClaims<PacketTag> byTag_;
     TargetClaims<std::uint64_t> byNumber_;
     absl::flat_hash_map<ServiceId, std::vector<TargetIndex>> byService_;
 };
