Take over when the follower has not heard of one part of the directory

Cause: the contact with the store was the latest answer about any part, so the watch of the services vouched for the targets and nobody took over. A lost watch of the targets was given up after 3 s, the whole deadline of a change, and its successor was held back until the watch of the services ended.

Evidence: store-lost part=targets of the follower 3 s after the watch, store-regained part=services 0.9 s later, no follow-store of another balancer between them.

Change: the contact is that of the part that was answered longest ago. Calls for the targets are held back only while neither part is answered. Store failures are logged by part, follow-store with the age of the contact. The soak loses single watches.

The case of directory_tests that gave a contact age of 1,700 ms as too old now takes the age from the constant.

--- a/include/poplarroad/fleetmessages.h
+++ b/include/poplarroad/fleetmessages.h
@@ -29,7 +29,7 @@
     std::uint64_t rank = 0; ///< of two followers, the one with the larger rank keeps following
     std::uint64_t serviceVersion = 0;
     Revision targets; ///< of the last change to the target list
-    std::uint32_t contactAgeMs = 0; ///< time since the store last answered the follower
+    std::uint32_t contactAgeMs = 0; ///< time since the store's last answer about the part that it answered longest ago
     bool relayed = false; ///< passed on by a balancer that received it
     std::uint64_t targetsDigest = 0; ///< of the whole target list; equal lists have equal digests
 
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -41,6 +41,7 @@
     , pauseDetector_(loop_, PauseLimit, [this](Milliseconds) { onPaused(); })
     , mailbox_(loop_, [this](DirectoryTaskMessage &&message) { handle(std::move(message)); })
 {
+    storeReachable_.fill(true);
 }
 
 void DirectoryTask::start()
@@ -139,10 +140,11 @@
         counters_.add(Counter::StoreFailures);
         metrics_.storeErrors.add(*error);
     }
-    if (storeReachable_ == !error) {
+    bool &reachable = storeReachable_[static_cast<std::size_t>(part)];
+    if (reachable == !error) {
         return;
     }
-    storeReachable_ = !error;
+    reachable = !error;
     if (error) {
         log_.write(LogEvent::StoreLost, now(), { { "part", nameOf(part) }, { "reason", nameOf(*error) } });
     } else {
@@ -195,7 +197,9 @@
 {
     metrics_.follows.set(change.follows ? 1 : 0);
     log_.write(LogEvent::FollowingChanged, now(),
-               { { "follows", change.follows }, { "position", static_cast<std::int64_t>(change.position) } });
+               { { "follows", change.follows },
+                 { "position", static_cast<std::int64_t>(change.position) },
+                 { "contact_age_ms", change.contactAge ? change.contactAge->count() : -1 } });
 }
 
 void DirectoryTask::perform(const DirectoryReady &ready)
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -74,7 +74,7 @@
     std::unique_ptr<DirectorySource> source_;
     DirectorySync sync_;
     PeriodicReports refusedEntryLog_;
-    bool storeReachable_ = true;
+    std::array<bool, EnumNames<DirectoryPart>::table.size()> storeReachable_; ///< by part
     LoopTimer timer_;
     PauseDetector pauseDetector_;
     Mailbox<DirectoryTaskMessage> mailbox_;
--- a/src/service/directoryelection.h
+++ b/src/service/directoryelection.h
@@ -3,6 +3,7 @@
 
 #include "poplarroad/clock.h"
 #include "poplarroad/fleetmessages.h"
+#include "service/directorytiming.h"
 
 #include <optional>
 
@@ -14,7 +15,7 @@
 {
     std::uint64_t serviceVersion = 0;
     Revision targets; ///< revision of the last change of the target list
-    std::optional<TimePoint> lastContact; ///< when the store last answered this balancer; unset if it never did
+    std::optional<TimePoint> lastContact; ///< see DirectorySync::contact(); unset if there was none
     std::uint64_t targetsDigest = 0; ///< see DirectoryBeacon::targetsDigest
 };
 
@@ -30,14 +31,10 @@
 class DirectoryElection
 {
 public:
-    /** Interval of a follower's beacons. */
-    static constexpr Milliseconds BeaconPeriod{ 300 };
-    /** Allows three lost beacons before others follow. A change has to take effect within 3 s. */
-    static constexpr Milliseconds BeaconTimeout{ 1000 };
-    /** A follower whose last answer from the store is older may have lost the store. */
-    static constexpr Milliseconds MaxContactAge{ 1600 };
-    /** Time from one balancer of the succession to the next; allows for a call to the store and a beacon. */
-    static constexpr Milliseconds SuccessionStep{ 300 };
+    static constexpr Milliseconds BeaconPeriod = DirectoryTiming::BeaconPeriod;
+    static constexpr Milliseconds BeaconTimeout = DirectoryTiming::BeaconTimeout;
+    static constexpr Milliseconds MaxContactAge = DirectoryTiming::MaxContactAge;
+    static constexpr Milliseconds SuccessionStep = DirectoryTiming::SuccessionStep;
     /** How long a balancer that starts waits for beacons. */
     static constexpr Milliseconds StartupDelay{ 400 };
     /** Delay in place of the position's while the others of the zone are not known yet; longer than joining it takes. */
@@ -56,7 +53,7 @@
     /**
      * Decides whether this balancer follows.
      *
-     * @param lastContact when the store last answered this balancer
+     * @param lastContact until when the store answered this balancer for both parts
      * @param mayFollow false while this balancer leaves
      * @return whether the result of follows() changed
      */
--- a/src/service/directorysync.cpp
+++ b/src/service/directorysync.cpp
@@ -14,8 +14,8 @@
     , nextRequestAt_(startedAt + FirstRequestDelay)
     , nextTimer_(startedAt)
     // Routes that were withdrawn must not come back with a stale list; the changes of the targets follow from peers.
-    , watchers_{ DirectoryWatcher(ServicesWatchTime, ReadFreshness::Current, random_.next()),
-                 DirectoryWatcher(TargetsWatchTime, ReadFreshness::MayBeStale, random_.next()) }
+    , watchers_{ DirectoryWatcher(DirectoryTiming::ServicesWatchTime, ReadFreshness::Current, random_.next()),
+                 DirectoryWatcher(DirectoryTiming::TargetsWatchTime, ReadFreshness::MayBeStale, random_.next()) }
     , election_(identity_.self, identity_.rank, startedAt)
     , changeQueue_(identity_.contentBytesPerSecond)
     , completeListQueue_(identity_.contentBytesPerSecond)
@@ -56,8 +56,13 @@
 
 void DirectorySync::updateFollowing(TimePoint now, DirectoryActions &actions)
 {
-    if (election_.update(state().lastContact, !leaving_, now)) {
-        actions.emplace_back(FollowingChange{ election_.follows(), election_.position() });
+    const std::optional<TimePoint> lastContact = contact();
+    if (election_.update(lastContact, !leaving_, now)) {
+        std::optional<Milliseconds> age;
+        if (lastContact) {
+            age = std::chrono::duration_cast<Milliseconds>(now - *lastContact);
+        }
+        actions.emplace_back(FollowingChange{ election_.follows(), election_.position(), age });
     }
     for (DirectoryWatcher &watcher : watchers_) {
         watcher.setFollowing(election_.follows(), now);
@@ -79,14 +84,33 @@
 
 bool DirectorySync::isHeldBack(DirectoryPart part) const
 {
-    // While the store does not answer, only the short read of the services finds out when it does again.
-    return part == DirectoryPart::Targets && storeLost_ && election_.follows();
+    // While the store answers for no part, only the short read of the services finds out when it does again.
+    const bool answersNone = std::all_of(watchers_.begin(), watchers_.end(),
+                                         [](const DirectoryWatcher &watcher) { return watcher.isFailing(); });
+    return part == DirectoryPart::Targets && answersNone && election_.follows();
+}
+
+std::optional<TimePoint> DirectorySync::contact() const
+{
+    // An answer vouches for its own part only. It counts for the other one from the moment when the store is back until
+    // that part is read, so that one balancer reads it and not all that wait for the store.
+    std::optional<TimePoint> oldest = TimePoint::max();
+    for (const DirectoryWatcher &watcher : watchers_) {
+        std::optional<TimePoint> known = watcher.lastContact();
+        for (const DirectoryWatcher &other : watchers_) {
+            const std::optional<TimePoint> back = other.answeringSince();
+            if (back && !watcher.failedSince(*back)) {
+                known = std::max(known, back);
+            }
+        }
+        oldest = std::min(oldest, known);
+    }
+    return oldest;
 }
 
 void DirectorySync::onStoreAnswer(DirectoryPart part, std::uint64_t number, DirectoryResult answer, TimePoint now,
                                   DirectoryActions &actions)
 {
-    storeLost_ = answer.error && *answer.error != StoreError::NotFound;
     if (watcherOf(part).onAnswer(number, answer, now)) {
         const PendingContent before{ {}, services_ ? services_->version : 0, targets_.revision() };
         bool changed = answer.services && applyServices(answer.services, actions);
@@ -186,11 +210,7 @@
 
 DirectoryState DirectorySync::state() const
 {
-    std::optional<TimePoint> contact;
-    for (const DirectoryWatcher &watcher : watchers_) {
-        contact = std::max(contact, watcher.lastContact());
-    }
-    return { services_ ? services_->version : 0, targets_.lastChange(), contact, targets_.digest() };
+    return { services_ ? services_->version : 0, targets_.lastChange(), contact(), targets_.digest() };
 }
 
 } // namespace poplarroad
--- a/src/service/directorysync.h
+++ b/src/service/directorysync.h
@@ -4,6 +4,7 @@
 #include "poplarroad/fleetmessages.h"
 #include "service/contentqueue.h"
 #include "service/directoryelection.h"
+#include "service/directorytiming.h"
 #include "service/directorywatcher.h"
 #include "service/targetreplica.h"
 #include "zone/seededrandom.h"
@@ -58,6 +59,7 @@
 {
     bool follows = false;
     std::size_t position = 0; ///< in the succession of its zone
+    std::optional<Milliseconds> contactAge; ///< of this balancer's own contact to the store
 };
 
 /** The services and targets are known and confirmed; happens once. */
@@ -81,10 +83,6 @@
 class DirectorySync
 {
 public:
-    /** The end of each watch shows that the store still answers; below the 3 s in which a change has to take effect. */
-    static constexpr Milliseconds ServicesWatchTime{ 1000 };
-    /** Below the 3 s for which a target may still be used after its entry changes to draining. */
-    static constexpr Milliseconds TargetsWatchTime{ 2000 };
     /** Time after which content that a peer has not sent is requested again. */
     static constexpr Milliseconds RequestTimeout{ 200 };
     /** Time for the store to answer a starting balancer, which then need not request complete lists from peers. */
@@ -158,6 +156,8 @@
     /** Makes the due calls and moves nextTimer_ to the next ones. */
     void callStore(TimePoint now, DirectoryActions &actions);
     bool isHeldBack(DirectoryPart part) const;
+    /** @return until when the store is known to have answered for both parts */
+    std::optional<TimePoint> contact() const;
     bool applyServices(const ServiceMapPtr &services, DirectoryActions &actions);
     bool applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable, TimePoint now,
                       DirectoryActions &actions);
@@ -221,8 +221,8 @@
     std::vector<std::pair<ZoneId, std::deque<HostAddress>>> requesters_; ///< by other zone, latest last
     std::shared_ptr<const FleetView> view_;
     std::optional<TimePoint> contentSince_; ///< since when services and targets are known
-    bool storeLost_ = false; ///< the last call to the store failed
-    bool targetsTruncated_ = false; ///< the store's last list was truncated: entries or changes of others may be missing
+    bool targetsTruncated_ =
+        false; ///< the store's last list was truncated: entries or changes of others may be missing
     bool askedStoreToConfirm_ = false;
     bool confirmed_ = false;
     bool leaving_ = false;
--- a/src/service/directorywatcher.cpp
+++ b/src/service/directorywatcher.cpp
@@ -42,6 +42,8 @@
     const bool mayBeStale = step_ == Step::StartRead && startFreshness_ == ReadFreshness::MayBeStale;
     const bool wasRead = step_ == Step::StartRead || step_ == Step::Read;
     lastContact_ = now;
+    answeringSince_ = answeringSince_.value_or(now);
+    failing_ = false;
     backoff_ = InitialBackoff;
     if (answer.truncated) {
         readAgainAt_ = now + TruncatedRetryDelay;
@@ -68,6 +70,11 @@
 
 void DirectoryWatcher::onFailure(StoreError error, TimePoint now)
 {
+    if (error != StoreError::NotFound) {
+        failing_ = true;
+        lastFailure_ = now;
+        answeringSince_.reset();
+    }
     const bool lacksHistory = step_ == Step::CatchUp && error == StoreError::NotFound;
     if (following_ || lacksHistory) {
         // The store may have lost its history, and a watch from an old revision may report nothing: read all again.
@@ -87,6 +94,7 @@
         return;
     }
     following_ = following;
+    answeringSince_.reset();
     const bool starting = step_ == Step::StartRead;
     if (!following && !starting) {
         step_ = Step::Idle;
@@ -122,6 +130,7 @@
 void DirectoryWatcher::restart(TimePoint now)
 {
     inProgress_ = false;
+    answeringSince_.reset();
     if (following_) {
         revision_ = {};
         begin(Step::Read, StoreCallReason::Retry, now);
--- a/src/service/directorywatcher.h
+++ b/src/service/directorywatcher.h
@@ -3,6 +3,7 @@
 
 #include "link/directorysource.h"
 #include "poplarroad/clock.h"
+#include "service/directorytiming.h"
 #include "zone/seededrandom.h"
 
 #include <optional>
@@ -60,8 +61,7 @@
 public:
     /** Delay of the next watch after a change, so that changes in quick succession arrive in one answer. */
     static constexpr Milliseconds BatchDelay{ 150 };
-    /** Backoff after the first failed call; doubles up to MaxBackoff. */
-    static constexpr Milliseconds InitialBackoff{ 50 };
+    static constexpr Milliseconds InitialBackoff = DirectoryTiming::InitialBackoff;
     /** Targets write expired entries again within 2 s of the store's return, so it has to be noticed well before. */
     static constexpr Milliseconds MaxBackoff{ 800 };
     /** After a truncated list, how long a follower waits before it reads the part again. */
@@ -110,6 +110,21 @@
     {
         return lastContact_;
     }
+    /** @return since when each call was answered, counted anew when this balancer begins to follow or restarts */
+    std::optional<TimePoint> answeringSince() const
+    {
+        return answeringSince_;
+    }
+    /** @return whether a call has failed at or after a time */
+    bool failedSince(TimePoint time) const
+    {
+        return lastFailure_ && *lastFailure_ >= time;
+    }
+    /** @return whether the last call was not answered */
+    bool isFailing() const
+    {
+        return failing_;
+    }
     /** @return when the part was last known to be current, as the store itself said */
     std::optional<TimePoint> currentAt() const
     {
@@ -146,7 +161,10 @@
     std::uint64_t number_ = 0;
     TimePoint nextCallAt_;
     Milliseconds backoff_ = InitialBackoff;
+    bool failing_ = false;
     std::optional<TimePoint> lastContact_;
+    std::optional<TimePoint> answeringSince_;
+    std::optional<TimePoint> lastFailure_;
     std::optional<TimePoint> currentAt_;
     std::optional<TimePoint> readAgainAt_; ///< set after a truncated list
 };
--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -12,6 +12,7 @@
 
 constexpr TimePoint start{ std::chrono::seconds(1000) };
 constexpr Milliseconds wait{ 1000 };
+constexpr auto maxContactAgeMs = static_cast<std::uint32_t>(DirectoryElection::MaxContactAge.count());
 const HostAddress lowAddress{ 0x0a000001, 7000 };
 const HostAddress highAddress{ 0x0a000002, 7000 };
 const HostAddress thirdAddress{ 0x0a000000, 7000 };
@@ -479,7 +480,7 @@
         }
         SECTION("its contact to the store is lost")
         {
-            election.onBeacon(beaconOf(highAddress, 20, 1700), at(1000));
+            election.onBeacon(beaconOf(highAddress, 20, maxContactAgeMs), at(1000));
             CHECK(update(1000));
         }
         SECTION("it says that it leaves")
--- a/tests/directoryfleet.h
+++ b/tests/directoryfleet.h
@@ -53,6 +53,15 @@
     {
         refused_ = balancers;
     }
+    /**
+     * Loses the answer to the next watch of a part, as on a connection that fell silent; other calls are answered.
+     *
+     * @param onLost called when the watch arrives at the store
+     */
+    void loseNextWatch(std::size_t balancer, DirectoryPart part, std::function<void()> onLost)
+    {
+        lostWatch_ = { balancer, part, std::move(onLost) };
+    }
     void setStaleness(Milliseconds staleness)
     {
         staleness_ = staleness;
@@ -127,6 +136,13 @@
         TargetChange target;
         TimePoint at;
     };
+    /** A watch whose answer is to be lost. */
+    struct LostWatch
+    {
+        std::size_t balancer = 0;
+        DirectoryPart part = DirectoryPart::Services;
+        std::function<void()> onLost;
+    };
     struct Watch
     {
         std::size_t balancer = 0;
@@ -169,6 +185,7 @@
     std::vector<Watch> watches_;
     bool storeUp_ = true;
     std::set<std::size_t> refused_;
+    std::optional<LostWatch> lostWatch_;
     std::optional<std::size_t> isolated_;
     Milliseconds staleness_{ 0 };
     StoreCallCounts calls_;
--- a/tests/directoryfleet_tests.cpp
+++ b/tests/directoryfleet_tests.cpp
@@ -116,6 +116,42 @@
     CHECK(calls[1] <= 1.2 * static_cast<double>(calls[0]) + 50);
 }
 
+// Guards against a drain that all balancers learned too late, as one lost answer to the follower went unnoticed while
+// the other part of the directory was answered.
+TEST_CASE("loss of one watch of the follower: a change of that part reaches all balancers within its deadline")
+{
+    constexpr Milliseconds deadline{ 3000 };
+    for (const DirectoryPart part : { DirectoryPart::Targets, DirectoryPart::Services }) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            for (int phaseMs = 0; phaseMs < 2000; phaseMs += 250) {
+                CAPTURE(nameOf(part), seed, phaseMs);
+                DirectoryFleet fleet = runningFleet({ 3, 4, 1, 40 }, seed);
+                // A change of the services shifts the phases of the two watches against each other.
+                fleet.putServices();
+                fleet.run(Milliseconds(phaseMs + 2500));
+                const StoreCallCounts before = fleet.calls();
+                std::optional<TimePoint> lostAt;
+                fleet.loseNextWatch(fleet.followers().front(), part, [&] { lostAt = fleet.now(); });
+                while (!lostAt) {
+                    fleet.run(Milliseconds(1));
+                }
+                fleet.run(Milliseconds(20));
+                if (part == DirectoryPart::Targets) {
+                    fleet.putTarget(7, TargetState::Draining);
+                } else {
+                    fleet.putServices();
+                }
+                fleet.run(deadline);
+                CHECK(fleet.outdated() == 0);
+                fleet.run(Milliseconds(3000));
+                CHECK(fleet.followers().size() == 1);
+                const auto watches = static_cast<std::uint64_t>(8 * watchesPerSecond);
+                CHECK(fleet.calls().current - before.current <= 4 * callsOfTakeover + watches);
+            }
+        }
+    }
+}
+
 TEST_CASE("a third of the balancers is refused by the store: the others follow for them")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/tests/fakedirectoryfleet.cpp
+++ b/tests/fakedirectoryfleet.cpp
@@ -12,7 +12,8 @@
 
 constexpr std::size_t PageSize = 50;
 constexpr Milliseconds StoreDelay{ 4 };
-constexpr Milliseconds StoreTimeout{ 1000 };
+/** Time after the end of a watch until a balancer takes its answer for lost. */
+constexpr Milliseconds WatchTimeout = DirectoryTiming::WatchAnswerTimeout;
 constexpr Microseconds InZoneDelay{ 200 };
 constexpr Microseconds CrossZoneDelay{ 3400 };
 constexpr Milliseconds JoinDelay{ 600 };
@@ -231,7 +232,13 @@
                    },
                    [&](const WatchPart &watch) {
                        ++calls_.current;
-                       if (watch.after < discardedUpTo_) {
+                       const bool waits = watch.wait > Milliseconds(0);
+                       if (waits && lostWatch_ && lostWatch_->balancer == index && lostWatch_->part == part) {
+                           answer(index, process, part, number, { StoreError::AnswerLost, {}, false, nullptr, {}, {} },
+                                  watch.wait + WatchTimeout);
+                           const auto onLost = std::exchange(lostWatch_, std::nullopt)->onLost;
+                           onLost();
+                       } else if (watch.after < discardedUpTo_) {
                            answer(index, process, part, number, { StoreError::NotFound, {}, false, nullptr, {}, {} },
                                   StoreDelay);
                        } else if (hasChanges(part, watch.after) || watch.wait == Milliseconds(0)) {
