--- a/tests/sharedtags_tests.cpp
+++ b/tests/sharedtags_tests.cpp
@@ -29,7 +29,8 @@
         const std::uint64_t id = rendezvousWeight(i, 0);
         const auto [other, isNew] = seen.try_emplace(packetTagOf(TargetId{ id }), id);
         if (!isNew) {
-            pairs.push_back({ listed(other->second), listed(id) });
+            constexpr std::uint16_t slots = 100;
+            pairs.push_back({ listed(other->second, ownZone, slots), listed(id, ownZone, slots) });
             pairs.back().older.target.instance = 100 + 2 * pairs.size();
             pairs.back().younger.target.instance = 101 + 2 * pairs.size();
             pairs.back().younger.target.target.address.ip += 1;
@@ -156,7 +157,9 @@
         for (const CollidingPair &pair : pairs) {
             list[idOf(pair.older)] = pair.older;
         }
-        for (int i = 0; i < 3; ++i) {
+        constexpr std::size_t balancers = 3;
+        routers.reserve(balancers);
+        while (routers.size() < balancers) {
             routers.push_back(start());
         }
         std::vector<std::pair<Packet, TargetId>> flows;
