Remove an expired entry only on a list that the store vouches for

Cause: the grace period of an expired entry ended by the clock alone. The follower had lost the answer to the watch in which the entries returned, and the others noticed that only after 2.1 s.

Change: an expired entry is removed when the list is known to be that of the store at the end of the grace period or later: by the own contact about the targets, or by the contact of the follower that is heard. Without a store it stays expired.

--- a/src/service/directoryelection.h
+++ b/src/service/directoryelection.h
@@ -63,6 +63,11 @@
     {
         return follows_;
     }
+    /** @return the contact of the follower whose beacons this balancer hears, or nothing if there is none */
+    std::optional<TimePoint> followerContact(TimePoint now) const
+    {
+        return hasFreshFollower(now) ? std::optional(bestFollower_->lastContact) : std::nullopt;
+    }
     /** @return number of balancers of the zone that take over before this one */
     std::size_t position() const
     {
--- a/src/service/directorysync.cpp
+++ b/src/service/directorysync.cpp
@@ -37,7 +37,7 @@
 
 void DirectorySync::runDueWork(TimePoint now, DirectoryActions &actions)
 {
-    publish(targets_.onTimer(now), actions);
+    publish(targets_.onTimer(now, targetsKnownUntil(now)), actions);
     updateFollowing(now, actions);
     checkReady(now, actions);
     confirmByStore(now);
@@ -45,8 +45,11 @@
     requestFromPeers(now, actions);
     sendQueued(changeQueue_, now, actions);
     sendQueued(completeListQueue_, now, actions);
-    nextTimer_ = std::min({ targets_.nextTimer(), election_.nextTimer(now), nextRequestAt_, changeQueue_.nextTimer(),
-                            completeListQueue_.nextTimer() });
+    nextTimer_ = std::min(
+        { election_.nextTimer(now), nextRequestAt_, changeQueue_.nextTimer(), completeListQueue_.nextTimer() });
+    if (targets_.nextTimer() > now) {
+        nextTimer_ = std::min(nextTimer_, targets_.nextTimer());
+    }
     if (contentSince_ && !ready_) {
         nextTimer_ =
             std::min(nextTimer_, *contentSince_ + (askedStoreToConfirm_ ? ConfirmationTimeout : PeerConfirmationTime));
@@ -108,6 +111,18 @@
     return oldest;
 }
 
+TimePoint DirectorySync::targetsKnownUntil(TimePoint now) const
+{
+    std::optional<TimePoint> known;
+    if (election_.follows() && !targetsTruncated_) {
+        known = watcherOf(DirectoryPart::Targets).lastContact();
+    }
+    if (!lags_[static_cast<std::size_t>(DirectoryPart::Targets)].since) {
+        known = std::max(known, election_.followerContact(now));
+    }
+    return known.value_or(TimePoint::min());
+}
+
 void DirectorySync::onStoreAnswer(DirectoryPart part, std::uint64_t number, DirectoryResult answer, TimePoint now,
                                   DirectoryActions &actions)
 {
--- a/src/service/directorysync.h
+++ b/src/service/directorysync.h
@@ -158,6 +158,8 @@
     bool isHeldBack(DirectoryPart part) const;
     /** @return until when the store is known to have answered for both parts */
     std::optional<TimePoint> contact() const;
+    /** @return until when the list of targets is known to be that of the store, by own contact or that of the follower */
+    TimePoint targetsKnownUntil(TimePoint now) const;
     bool applyServices(const ServiceMapPtr &services, DirectoryActions &actions);
     bool applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable, TimePoint now,
                       DirectoryActions &actions);
@@ -204,6 +206,10 @@
     {
         return watchers_[static_cast<std::size_t>(part)];
     }
+    const DirectoryWatcher &watcherOf(DirectoryPart part) const
+    {
+        return watchers_[static_cast<std::size_t>(part)];
+    }
 
     DirectoryIdentity identity_;
     SeededRandom random_;
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -176,16 +176,17 @@
     }
 }
 
-TargetUpdate TargetReplica::onTimer(TimePoint now)
+TargetUpdate TargetReplica::onTimer(TimePoint now, TimePoint knownUntil)
 {
+    const TimePoint end = std::min(now, knownUntil);
     TargetUpdate applied;
     applied.revision = revision_;
-    while (!graceDeadlines_.empty() && graceDeadlines_.front().until <= now) {
+    while (!graceDeadlines_.empty() && graceDeadlines_.front().until <= end) {
         const TargetId target = graceDeadlines_.front().target;
         graceDeadlines_.pop_front();
         const auto entry = expired_.find(target);
         // An entry that expired again since has a later deadline.
-        if (entry != expired_.end() && entry->second.graceUntil <= now) {
+        if (entry != expired_.end() && entry->second.graceUntil <= end) {
             applied.changes.push_back({ revision_, ListingState::Gone, std::move(entry->second.target) });
             expired_.erase(entry);
         }
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -44,8 +44,14 @@
      * @return the changes for the readers of the list
      */
     TargetUpdate apply(const TargetUpdate &update, TimePoint now, const std::vector<TargetId> &unreadable = {});
-    /** Removes expired entries whose grace period is over. @return them, as Listing::Gone */
-    TargetUpdate onTimer(TimePoint now);
+    /**
+     * Removes expired entries whose grace period is over.
+     *
+     * @param knownUntil until when the list is known to be that of the store: an entry that is not known to be missing
+     *     at the end of its grace period stays expired
+     * @return them, as ListingState::Gone
+     */
+    TargetUpdate onTimer(TimePoint now, TimePoint knownUntil = TimePoint::max());
     /** @return when onTimer() has to be called next; TimePoint::max() if no grace period is running */
     TimePoint nextTimer() const;
     Revision revision() const
--- a/tests/directoryfleet.h
+++ b/tests/directoryfleet.h
@@ -100,6 +100,11 @@
     }
     /** @return how long the balancer took from its start until it was ready */
     std::optional<Milliseconds> readyAfter(std::size_t balancer) const;
+    /** @return how often balancers removed a target that had expired */
+    std::uint64_t removals() const
+    {
+        return removals_;
+    }
     std::vector<std::size_t> followers() const;
     /** @return live balancers whose targets and services differ from those of the store */
     std::size_t outdated() const;
@@ -189,6 +194,7 @@
     std::optional<std::size_t> isolated_;
     Milliseconds staleness_{ 0 };
     StoreCallCounts calls_;
+    std::uint64_t removals_ = 0;
 };
 
 } // namespace poplarroad::test
--- a/tests/directoryfleet_tests.cpp
+++ b/tests/directoryfleet_tests.cpp
@@ -152,6 +152,37 @@
     }
 }
 
+// Guards against the reset of live flows after an outage, when the return of their target's entry went unnoticed.
+TEST_CASE("an entry that expired in an outage and returned stays in use, though the follower loses the watch meanwhile")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        DirectoryFleet fleet = runningFleet({ 3, 4, 1, 40 }, seed);
+        fleet.setStoreUp(false);
+        fleet.run(Milliseconds(4000));
+        fleet.removeTarget(5);
+        fleet.setStoreUp(true);
+        while (fleet.outdated() > 0 || fleet.followers().size() != 1) {
+            fleet.run(Milliseconds(10));
+        }
+        const TimePoint expiredAt = fleet.now();
+        // The watch after the one that tells of the missing entry.
+        fleet.run(DirectoryTiming::TargetsWatchTime);
+        bool lost = false;
+        fleet.loseNextWatch(fleet.followers().front(), DirectoryPart::Targets, [&] { lost = true; });
+        while (!lost) {
+            fleet.run(Milliseconds(10));
+        }
+        REQUIRE(fleet.now() - expiredAt < Milliseconds(2000));
+        fleet.putTarget(5);
+        fleet.run(Milliseconds(5000));
+        CHECK(fleet.outdated() == 0);
+        CHECK(fleet.removals() == 0);
+        fleet.removeTarget(5);
+        fleet.run(Milliseconds(5000));
+        CHECK(fleet.removals() == fleet.count());
+    }
+}
+
 TEST_CASE("a third of the balancers is refused by the store: the others follow for them")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/tests/fakedirectoryfleet.cpp
+++ b/tests/fakedirectoryfleet.cpp
@@ -177,6 +177,11 @@
                        [&](const CallStore &call) { callStore(index, call); },
                        [&](const SendFleetMessage &message) { send(index, message); },
                        [&](const DirectoryReady &) { balancers_[index].readyAt = now_; },
+                       [&](const PublishTargets &published) {
+                           for (const TargetChange &change : published.update.changes) {
+                               removals_ += change.listing == ListingState::Gone ? 1 : 0;
+                           }
+                       },
                        [](const auto &) {},
                    },
                    action);
