--- a/tests/sharedtags_tests.cpp
+++ b/tests/sharedtags_tests.cpp
@@ -136,6 +136,7 @@
         std::vector<std::unique_ptr<FlowRouter>> routers;
         const auto all = [&] {
             std::vector<TargetChange> changes;
+            changes.reserve(list.size());
             for (const auto &[id, change] : list) {
                 changes.push_back(change);
             }
@@ -208,6 +209,7 @@
     constexpr std::uint64_t count = 140'000;
     TargetTable table;
     std::vector<TargetChange> changes;
+    changes.reserve(count);
     for (std::uint64_t id = 1; id <= count; ++id) {
         changes.push_back(listed(id));
     }
