Log entries that were written again unchanged for peers that lack them

Cause: a balancer that starts reads a list that may be some seconds old, here one from the time when most entries were missing, and asks peers for the changes since. A peer that had not read the store while an entry was missing saw it unchanged, so its log had no change to tell, and the list stayed without the entry at the peer's revision.

Change: an entry that comes with a newer revision is logged even if nothing else changed, so that changes since a revision contain it. Entries have a newer revision only if they were written again, so the log grows by what expired and came back.

directory_tests: the new case failed before (2 checks), passes now.

--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -99,7 +99,11 @@
     const bool wasExpired = expired_.erase(id) > 0;
     const auto known = entries_.find(id);
     if (known != entries_.end() && known->second.target == change.target && !wasExpired) {
-        known->second.revision = change.revision;
+        if (change.revision > known->second.revision) {
+            // Written again unchanged. A peer that read the list meanwhile may lack the entry.
+            known->second.revision = change.revision;
+            appendToLog(change, update);
+        }
         return;
     }
     setEntry(change);
--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -735,6 +735,20 @@
     CHECK(update.changes.front().listing == ListingState::Expired);
 }
 
+// Guards against lists that lack live targets after a restart in an outage of the store, and reset their flows.
+TEST_CASE("a list that was read while an entry was missing gets it from a peer that never saw it missing")
+{
+    TargetReplica peer;
+    peer.apply(completeList(10, { present(1, 3), present(2, 4) }), at(0));
+    // The entry expired and was written again unchanged between two reads of the peer.
+    CHECK(peer.apply(completeList(30, { present(1, 25), present(2, 4) }), at(4000)).changes.empty());
+    TargetReplica fresh;
+    fresh.apply(completeList(20, { present(2, 4) }), at(4100));
+    fresh.apply(peer.updateSince(fresh.revision()), at(4110));
+    CHECK(fresh.size() == 2);
+    CHECK(fresh.digest() == peer.digest());
+}
+
 TEST_CASE("balancers do not pass an expired entry back and forth forever")
 {
     TargetReplica first;
