--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -100,7 +100,7 @@
     const auto known = entries_.find(id);
     if (known != entries_.end() && known->second.target == change.target && !wasExpired) {
         if (change.revision > known->second.revision) {
-            // Written again unchanged. A peer that read the list meanwhile may lack the entry.
+            // Written again unchanged. A peer that read the list while the entry was missing lacks it.
             known->second.revision = change.revision;
             appendToLog(change, update);
         }
