--- a/review/6/case.py
+++ b/review/6/case.py
@@ -82,13 +82,15 @@
         record.write('follows the store: %s' % [daemon.name for daemon in following])
         if len(following) == 1 and following[0].zone == 'bogota-a':
             break
-        # The zone of the follower is the one to be restarted; a restart hands the store over.
-        for daemon in following:
+        # Before the case begins: the other zone hands the store over, so that the follower is in bogota-a.
+        others = [daemon for daemon in world.daemons if daemon.zone != 'bogota-a']
+        for daemon in others:
             daemon.terminate()
+        for daemon in others:
             await daemon.wait()
-            await asyncio.sleep(0.3)
             daemon.start()
-            await world.all_ready()
+        await asyncio.sleep(1.5)
+        await world.all_ready()
     else:
         record.write('no daemon of bogota-a follows the store')
         return 2
