--- a/review/6/case.py
+++ b/review/6/case.py
@@ -130,6 +130,7 @@
         record.write('too few requests ran')
         return 2
     record.write('rule FLOW: %s' % ('broken' if wrong else 'held'))
+    world.close()
     return 1 if wrong else 0
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -104,6 +104,7 @@
         record.write('too few requests were answered')
         return 2
     record.write('rule DRAIN: %s' % ('broken' if late else 'held'))
+    world.close()
     return 1 if late else 0
 
 
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -61,8 +61,11 @@
     def __init__(self, path):
         self.file = open(path, 'w', encoding='utf-8')
         self.start = now()
+        self.ended = False
 
     def write(self, text):
+        if self.ended:
+            return
         self.file.write('%8.3f s  %s\n' % (now() - self.start, text))
         self.file.flush()
 
@@ -258,6 +261,7 @@
         if request in self.ran:
             self.world.record.write('backend %s runs %s twice' % (self.name, request))
         self.ran.add(request)
+        self.world.record.write('backend %s runs %s' % (self.name, request))
         await asyncio.sleep(self.work_s)
         if not self.alive:
             return
@@ -266,6 +270,8 @@
         self.send(key, packet, ACK, answer[0], packet.seq + len(packet.data), answer[1])
 
     def send(self, key, received, flags, seq, ack, data=b''):
+        if not self.alive:
+            return
         client, route = key
         answer = Packet(route, client, flags, seq, ack, data, received.echo)
         self.transport.sendto(answer.encode(), (client[0], self.world.caller_port))
@@ -276,6 +282,7 @@
 
     def __init__(self, world, zone, ip):
         self.world, self.zone, self.ip, self.flows, self.next_port = world, zone, ip, {}, 40000
+        self.alive = True
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -305,7 +312,7 @@
 
     def send(self, flags, data=b'', ack=None):
         daemon = self.world.route_packet(self.client.zone, self.address, self.route)
-        if daemon is not None:
+        if daemon is not None and self.client.alive:
             packet = Packet(self.address, self.route, flags, self.seq, self.ack if ack is None else ack, data, self.echo)
             self.client.transport.sendto(packet.encode(), (daemon.ip, self.world.caller_port))
 
@@ -350,6 +357,7 @@
     async def ask(self, name, time_limit=1.5):
         """@return the answer, or None if the flow ended or the time limit passed"""
         self.answer, self.request = asyncio.get_running_loop().create_future(), name
+        self.world.record.write('client %s sends %s' % (self.address, name))
         data, wait, until = ('%s ' % name).encode() + b'x' * 100, 0.2, now() + time_limit
         while now() < until and not self.reason:
             self.send(ACK, data)
@@ -359,6 +367,7 @@
             ended.cancel()
             if self.answer.done():
                 self.request = None
+                self.world.record.write('client %s has the answer to %s' % (self.address, name))
                 return self.answer.result()
             wait = min(wait * 2, 1.6)
         return None
@@ -492,6 +501,13 @@
             await asyncio.sleep(0.1)
         return False
 
+    def close(self):
+        """Ends the stand-ins after the verdict, which is the last line of the record."""
+        self.record.ended = True
+        for end in [*self.backends.values(), *self.clients]:
+            end.alive = False
+            end.transport.close()
+
     def stop(self):
         for daemon in self.daemons:
             if daemon.process and daemon.process.poll() is None:
