Give a list the revision of its oldest page, and let no entry go back

Cause: a list took the revision of its first page. The store may answer each page from another copy, so a later page can be older. The list then claimed changes that it lacked; a watch or a request to peers from that revision never brings them, and a balancer that follows soon after its start sends the list to others as current.

The changes since are then older than some entries already read, so TargetReplica compares each change with what is known of its entry: an older state, and an entry that a newer page lacks, are ignored. A complete list neither reverts nor removes an entry that is known from a later revision, and a list whose pages differ in age is not sent to others as the complete one. The emulated store can answer cheap reads from copies of different age.

--- a/include/poplarroad/directory.h
+++ b/include/poplarroad/directory.h
@@ -125,6 +125,19 @@
     friend bool operator==(const TargetChange &, const TargetChange &) = default;
 };
 
+/**
+ * A part of a list that one call to the store returned. The store may answer the calls for one list from copies of
+ * different age.
+ */
+struct ListSegment
+{
+    std::string
+        lastName; ///< greatest name that the segment covers, in byte order; the last segment covers all after it
+    Revision revision; ///< the segment includes all changes up to it
+
+    friend bool operator==(const ListSegment &, const ListSegment &) = default;
+};
+
 /** The zones whose targets accept no new flows, as of one revision of the store. */
 struct ZoneEvacuations
 {
--- a/src/link/directorysource.h
+++ b/src/link/directorysource.h
@@ -60,6 +60,8 @@
     bool truncated = false; ///< a read that ended before the end of the list; not complete then
     std::vector<EvacuationChange> evacuations = {}; ///< listed ones, or changes in their order
     std::optional<std::string> refusedEra{}; ///< what the store sent in place of an era, shortened; it is ignored
+    /** Of a list that was read in several calls, in the order of names; `revision` is that of the oldest one. */
+    std::vector<ListSegment> segments{};
 };
 
 /** How current the result of a read has to be. */
--- a/src/service/directorysync.cpp
+++ b/src/service/directorysync.cpp
@@ -150,16 +150,16 @@
         const Revision lastChange = targets_.lastChange();
         bool changed = answer.services && applyServices(answer.services, actions);
         if (part == DirectoryPart::Targets) {
-            std::vector<TargetId> unreadable;
+            ListReading reading{ {}, std::move(answer.segments) };
             for (const RefusedEntry &entry : answer.refused) {
                 if (entry.target) {
-                    unreadable.push_back(*entry.target);
+                    reading.unreadable.push_back(*entry.target);
                 }
             }
             targetsTruncated_ = answer.truncated || (targetsTruncated_ && !answer.complete);
             const Revision revision = targetsTruncated_ ? targets_.revision() : answer.revision;
             const TargetUpdate update{ revision, answer.complete, std::move(answer.targets) };
-            changed = applyTargets(update, unreadable, now, actions) || changed;
+            changed = applyTargets(update, reading, now, actions) || changed;
         }
         if (part == DirectoryPart::Evacuations) {
             applyEvacuations(answer, now, actions);
@@ -184,10 +184,10 @@
     return true;
 }
 
-bool DirectorySync::applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable, TimePoint now,
+bool DirectorySync::applyTargets(const TargetUpdate &update, const ListReading &reading, TimePoint now,
                                  DirectoryActions &actions)
 {
-    TargetUpdate applied = targets_.apply(update, now, unreadable);
+    TargetUpdate applied = targets_.apply(update, now, reading);
     const bool changed = !applied.changes.empty();
     publish(std::move(applied), actions);
     return changed;
--- a/src/service/directorysync.h
+++ b/src/service/directorysync.h
@@ -177,8 +177,7 @@
     /** @return until when the list of targets is known to be that of the store, by own contact or that of the follower */
     TimePoint targetsKnownUntil(TimePoint now) const;
     bool applyServices(const ServiceMapPtr &services, DirectoryActions &actions);
-    bool applyTargets(const TargetUpdate &update, const std::vector<TargetId> &unreadable, TimePoint now,
-                      DirectoryActions &actions);
+    bool applyTargets(const TargetUpdate &update, const ListReading &reading, TimePoint now, DirectoryActions &actions);
     static void publish(TargetUpdate update, DirectoryActions &actions);
     /** Asks the store for the changes after the list if no peer confirmed it in time. */
     void confirmByStore(TimePoint now);
--- a/src/service/directorysyncpeers.cpp
+++ b/src/service/directorysyncpeers.cpp
@@ -234,6 +234,10 @@
     }
     // While changes are delayed, balancers still use targets that leave; complete lists must not delay changes.
     const bool isShort = known.servicesOnly || targets_.hasChangesSince(known.targets);
+    if (!isShort && targets_.isMixed()) {
+        // Of no revision as a whole: the receiver could not tell which of its changes are older than an entry.
+        return;
+    }
     ContentQueue &queue = isShort ? changeQueue_ : completeListQueue_;
     PendingContent pending = known;
     for (const HostAddress &host : hosts) {
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-TargetUpdate TargetReplica::apply(const TargetUpdate &update, TimePoint now, const std::vector<TargetId> &unreadable)
+TargetUpdate TargetReplica::apply(const TargetUpdate &update, TimePoint now, const ListReading &reading)
 {
     TargetUpdate applied;
     for (const TargetChange &change : update.changes) {
@@ -41,7 +41,7 @@
         applied.revision = revision_;
         return applied;
     }
-    TargetUpdate newer = applyNewer(update, now, unreadable);
+    TargetUpdate newer = applyNewer(update, now, reading);
     newer.changes.insert(newer.changes.begin(), applied.changes.begin(), applied.changes.end());
     return newer;
 }
@@ -57,10 +57,10 @@
     return applyNewer(update, now, {});
 }
 
-TargetUpdate TargetReplica::applyNewer(const TargetUpdate &update, TimePoint now,
-                                       const std::vector<TargetId> &unreadable)
+TargetUpdate TargetReplica::applyNewer(const TargetUpdate &update, TimePoint now, const ListReading &reading)
 {
     TargetUpdate applied;
+    const ListCoverage listCoverage(update.revision, update.complete ? reading.segments : std::vector<ListSegment>());
     const bool first = revision_.value == 0;
     const bool newEra = !first && eraOf(update.revision) > eraOf(revision_);
     beginEraOf(update, now);
@@ -70,30 +70,18 @@
     const bool wasEmpty = entries_.empty();
     firstListAt_ = firstListAt_.value_or(now);
     for (const TargetChange &change : update.changes) {
-        applyChange(change, update, now, applied);
+        applyChange(change, update, listCoverage, now, applied);
     }
     if (update.complete) {
-        absl::flat_hash_set<TargetId> presentIds(unreadable.begin(), unreadable.end());
-        for (const TargetChange &change : update.changes) {
-            if (change.listing == ListingState::Present) {
-                presentIds.insert(change.target.target.id);
-            }
-        }
-        std::vector<TargetId> missing;
-        for (const auto &[id, entry] : entries_) {
-            if (!presentIds.contains(id)) {
-                missing.push_back(id);
-            }
-        }
-        for (const TargetId id : missing) {
-            TargetChange gone{ update.revision, ListingState::Gone, {} };
-            gone.target.target.id = id;
-            removeEntry(gone, update, now, applied);
-        }
+        removeMissing(update, reading, listCoverage, now, applied);
         if (first) {
             log_.clear();
         }
+        if (listCoverage.isMixed()) {
+            coverage_ = listCoverage;
+        }
     }
+    coverage_.advance(update.revision);
     if (newEra || (first && update.complete)) {
         logStart_ = update.revision;
     }
@@ -103,6 +91,29 @@
     return applied;
 }
 
+void TargetReplica::removeMissing(const TargetUpdate &list, const ListReading &reading, const ListCoverage &coverage,
+                                  TimePoint now, TargetUpdate &applied)
+{
+    absl::flat_hash_set<TargetId> presentIds(reading.unreadable.begin(), reading.unreadable.end());
+    for (const TargetChange &change : list.changes) {
+        if (change.listing == ListingState::Present) {
+            presentIds.insert(change.target.target.id);
+        }
+    }
+    std::vector<TargetId> missing;
+    for (const auto &[id, entry] : entries_) {
+        const bool isOlder = entry.revision < coverage.revisionOf(entry.target.target.name);
+        if (!presentIds.contains(id) && isOlder) {
+            missing.push_back(id);
+        }
+    }
+    for (const TargetId id : missing) {
+        TargetChange gone{ coverage.revisionOf(entries_.at(id).target.target.name), ListingState::Gone, {} };
+        gone.target.target.id = id;
+        removeEntry(gone, list, now, applied);
+    }
+}
+
 void TargetReplica::beginEraOf(const TargetUpdate &update, TimePoint now)
 {
     // A truncated list comes at the revision of this replica; only its entries show the era.
@@ -120,29 +131,37 @@
     log_.clear();
 }
 
-bool TargetReplica::isOutdated(const TargetChange &change, const TargetUpdate &update) const
+bool TargetReplica::isOutdated(const TargetChange &change, const TargetUpdate &update,
+                               const ListCoverage &updateCoverage) const
 {
     // Balancers learn of the removal and the return of an entry at different revisions and in different order, so the
     // revisions of the entry are compared, not those of the lists.
-    const TargetId id = change.target.target.id;
+    const Target &target = change.target.target;
+    const auto isSuperseded = [&](Revision known) {
+        return !update.complete || known > updateCoverage.revisionOf(target.name);
+    };
     for (const auto *entries : { &entries_, &expired_ }) {
-        const auto known = entries->find(id);
+        const auto known = entries->find(target.id);
         if (known != entries->end() && change.revision < known->second.revision) {
-            return !update.complete;
+            return isSuperseded(known->second.revision);
         }
     }
+    if (coverage_.isMixed() && change.listing == ListingState::Present && !entries_.contains(target.id)) {
+        const Revision missingAt = coverage_.revisionOf(target.name);
+        return change.revision <= missingAt && isSuperseded(missingAt);
+    }
     return false;
 }
 
-void TargetReplica::applyChange(const TargetChange &change, const TargetUpdate &update, TimePoint now,
-                                TargetUpdate &applied)
+void TargetReplica::applyChange(const TargetChange &change, const TargetUpdate &update,
+                                const ListCoverage &updateCoverage, TimePoint now, TargetUpdate &applied)
 {
     const TargetId id = change.target.target.id;
     if (isWithheldMark(change)) {
         applyWithheldMark(change, now, applied);
         return;
     }
-    if (change.listing == ListingState::Expired || isOutdated(change, update)) {
+    if (change.listing == ListingState::Expired || isOutdated(change, update, updateCoverage)) {
         return;
     }
     if (change.listing == ListingState::Gone) {
--- a/src/service/targetreplica.h
+++ b/src/service/targetreplica.h
@@ -3,6 +3,7 @@
 
 #include "poplarroad/fleetmessages.h"
 #include "service/departedtargets.h"
+#include "service/listcoverage.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -13,9 +14,24 @@
 namespace poplarroad
 {
 
+/** How the store returned a list, beside its entries. */
+struct ListReading
+{
+    /**
+     * Targets whose entries exist but cannot be read; they keep their last valid state, since a write by another program
+     * says nothing about the target.
+     */
+    std::vector<TargetId> unreadable;
+    std::vector<ListSegment> segments; ///< of a list that was read in several calls, see ListCoverage
+};
+
 /**
  * A copy of the store's target list at one revision.
  *
+ * The list has all changes up to its revision. Single entries can be known from a later one, when the segments of a list
+ * differ in age: no entry goes back to an earlier state because of a change, or of another list, that is older than what
+ * is known of it.
+ *
  * When the entry of an active target disappears, the target stays in use as expired for a grace period: entries also
  * expire while targets cannot write to the store, and are written again once they can.
  *
@@ -44,11 +60,10 @@
      * A truncated list, and changes that follow it, are applied at the revision of this replica: they vouch for no
      * revision, as entries may be missing.
      *
-     * @param unreadable targets whose entries exist but cannot be read; they keep their last valid state, since a write
-     *     by another program says nothing about the target
+     * @param reading how the store returned a complete list
      * @return the changes for the readers of the list
      */
-    TargetUpdate apply(const TargetUpdate &update, TimePoint now, const std::vector<TargetId> &unreadable = {});
+    TargetUpdate apply(const TargetUpdate &update, TimePoint now, const ListReading &reading = {});
     /**
      * Applies changes of a peer that lead from a list of an earlier era to one of a later era.
      *
@@ -103,6 +118,11 @@
     std::vector<TargetChange> unlistedState() const;
     /** Applies a peer's unlistedState(), and nothing else of its changes. @return the changes for the readers */
     TargetUpdate applyUnlistedState(const std::vector<TargetChange> &changes, TimePoint now);
+    /** @return whether parts of the list are newer than its revision, so that it is not the list of any one revision */
+    bool isMixed() const
+    {
+        return coverage_.isMixed();
+    }
     /** @return the number of entries that are present */
     std::size_t size() const
     {
@@ -152,13 +172,20 @@
     };
 
     /** Applies an update that is not older than this replica. */
-    TargetUpdate applyNewer(const TargetUpdate &update, TimePoint now, const std::vector<TargetId> &unreadable);
+    TargetUpdate applyNewer(const TargetUpdate &update, TimePoint now, const ListReading &reading);
+    /** Removes the entries that a complete list lacks, except those that are known from a later revision. */
+    void removeMissing(const TargetUpdate &list, const ListReading &reading, const ListCoverage &coverage,
+                       TimePoint now, TargetUpdate &applied);
     /** Begins the log of an era with the changes to the last list of the one before. */
     void restartLog();
-    /** @param update the update that contains the change */
-    void applyChange(const TargetChange &change, const TargetUpdate &update, TimePoint now, TargetUpdate &applied);
-    /** @return whether the known entry is newer than the change; always false for a complete list */
-    bool isOutdated(const TargetChange &change, const TargetUpdate &update) const;
+    /**
+     * @param update the update that contains the change
+     * @param updateCoverage of the update
+     */
+    void applyChange(const TargetChange &change, const TargetUpdate &update, const ListCoverage &updateCoverage,
+                     TimePoint now, TargetUpdate &applied);
+    /** @return whether a later state of the entry is known than the one that the change or the list shows */
+    bool isOutdated(const TargetChange &change, const TargetUpdate &update, const ListCoverage &updateCoverage) const;
     /** Begins the era of an update if it is a new one. */
     void beginEraOf(const TargetUpdate &update, TimePoint now);
     /** @return whether a change is the mark of a peer that withholds an entry; draining targets do not expire */
@@ -182,6 +209,7 @@
     void appendMarks(std::vector<TargetChange> &changes) const;
 
     Revision revision_;
+    ListCoverage coverage_; ///< of this list
     std::optional<TimePoint> firstListAt_;
     absl::flat_hash_map<TargetId, Entry> entries_;
     std::uint64_t digest_ = 0; ///< sum over the entries
--- a/tests/directoryfleet.h
+++ b/tests/directoryfleet.h
@@ -67,6 +67,11 @@
     {
         staleness_ = staleness;
     }
+    /** Answers each page of a read that may be stale as of an age of its own, drawn from 0 to `longest`. */
+    void setPageStaleness(Milliseconds longest)
+    {
+        pageStaleness_ = longest;
+    }
     void putTarget(std::uint64_t id, TargetState state = TargetState::Active);
     void removeTarget(std::uint64_t id);
     void putServices();
@@ -122,6 +127,11 @@
     /** @return whether a balancer may open flows to a target */
     bool uses(std::size_t balancer, std::uint64_t target) const;
     std::vector<std::size_t> followers() const;
+    /** @return balancers that started and are ready */
+    bool isReady(std::size_t balancer) const
+    {
+        return isAlive(balancer) && balancers_[balancer].readyAt.has_value();
+    }
     /** @return live balancers whose targets and services differ from those of the store */
     std::size_t outdated() const;
     bool isCurrent(std::size_t balancer) const;
@@ -205,7 +215,15 @@
     void answer(std::size_t balancer, std::uint64_t process, DirectoryPart part, std::uint64_t number,
                 DirectoryResult result, Milliseconds delay);
     bool reachesStore(std::size_t balancer) const;
-    DirectoryResult list(DirectoryPart part, ReadFreshness freshness) const;
+    DirectoryResult list(DirectoryPart part, ReadFreshness freshness);
+    /** The target list as it was some time ago. */
+    struct PastList
+    {
+        Revision revision;
+        std::map<TargetId, TargetChange> targets;
+    };
+    PastList listBefore(Milliseconds age) const;
+    DirectoryResult listInPages(ReadFreshness freshness);
     DirectoryResult changes(DirectoryPart part, Revision after) const;
     bool hasChanges(DirectoryPart part, Revision after) const;
     // fakedirectoryevacuations.cpp
@@ -241,6 +259,7 @@
     std::optional<LostWatch> lostWatch_;
     std::optional<std::size_t> isolated_;
     Milliseconds staleness_{ 0 };
+    Milliseconds pageStaleness_{ 0 };
     StoreCallCounts calls_;
     std::uint64_t removals_ = 0;
     std::uint64_t zonesReturned_ = 0;
--- a/tests/entryidentity_tests.cpp
+++ b/tests/entryidentity_tests.cpp
@@ -57,7 +57,8 @@
     TargetUpdate apply(const DirectoryResult &answer)
     {
         REQUIRE_FALSE(answer.error);
-        return replica.apply({ answer.revision, answer.complete, answer.targets }, start, refusedTargets(answer));
+        return replica.apply({ answer.revision, answer.complete, answer.targets }, start,
+                             { refusedTargets(answer), answer.segments });
     }
 
     TargetReplica replica;
--- a/tests/fakedirectoryfleet.cpp
+++ b/tests/fakedirectoryfleet.cpp
@@ -306,6 +306,8 @@
     TargetChange change;
     change.revision = Revision{ ++revision_.value };
     change.target.target.id = TargetId{ id };
+    const std::string digits = std::to_string(id);
+    change.target.target.name = "t-" + std::string(8 - std::min<std::size_t>(digits.size(), 8), '0') + digits;
     change.target.target.state = state;
     targets_[change.target.target.id] = change;
     history_.push_back({ revision_, change, now_ });
@@ -369,35 +371,54 @@
         && balancers_[balancer].published.at(TargetId{ target }).target.target.state == TargetState::Active;
 }
 
-DirectoryResult DirectoryFleet::list(DirectoryPart part, ReadFreshness freshness) const
+DirectoryResult DirectoryFleet::list(DirectoryPart part, ReadFreshness freshness)
 {
-    DirectoryResult result;
-    result.complete = true;
-    result.revision = revision_;
     if (part == DirectoryPart::Services) {
         return changes(part, {});
     }
-    if (part == DirectoryPart::Evacuations) {
-        return evacuationList();
-    }
-    std::map<TargetId, TargetChange> listed = targets_;
-    if (freshness == ReadFreshness::MayBeStale) {
-        listed.clear();
-        result.revision = revisionIn(eraOf(revision_), 100);
-        for (const Change &change : history_) {
-            if (change.at > now_ - staleness_) {
-                break;
-            }
-            result.revision = change.revision;
-            if (change.target.listing == ListingState::Gone) {
-                listed.erase(change.target.target.target.id);
-            } else {
-                listed[change.target.target.target.id] = change.target;
-            }
+    return part == DirectoryPart::Evacuations ? evacuationList() : listInPages(freshness);
+}
+
+DirectoryFleet::PastList DirectoryFleet::listBefore(Milliseconds age) const
+{
+    PastList past{ revisionIn(eraOf(revision_), 100), {} };
+    for (const Change &change : history_) {
+        if (change.at > now_ - age) {
+            break;
+        }
+        past.revision = change.revision;
+        if (change.target.listing == ListingState::Gone) {
+            past.targets.erase(change.target.target.target.id);
+        } else {
+            past.targets[change.target.target.target.id] = change.target;
         }
     }
-    for (const auto &[id, change] : listed) {
-        result.targets.push_back(change);
+    return past;
+}
+
+DirectoryResult DirectoryFleet::listInPages(ReadFreshness freshness)
+{
+    DirectoryResult result;
+    result.complete = true;
+    TargetId last;
+    bool ended = false;
+    while (!ended) {
+        PastList copy{ revision_, targets_ };
+        if (freshness == ReadFreshness::MayBeStale) {
+            const auto extra =
+                static_cast<std::int64_t>(static_cast<double>(pageStaleness_.count()) * random_.nextDouble());
+            copy = listBefore(staleness_ + Milliseconds(extra));
+        }
+        auto entry = copy.targets.upper_bound(last);
+        std::string lastName;
+        for (std::size_t i = 0; i < PageSize && entry != copy.targets.end(); ++i, ++entry) {
+            result.targets.push_back(entry->second);
+            last = entry->first;
+            lastName = entry->second.target.target.name;
+        }
+        ended = entry == copy.targets.end();
+        result.revision = result.segments.empty() ? copy.revision : std::min(result.revision, copy.revision);
+        result.segments.push_back({ lastName, copy.revision });
     }
     return result;
 }
--- a/tests/oddentries_tests.cpp
+++ b/tests/oddentries_tests.cpp
@@ -269,7 +269,7 @@
                   start);
     const TargetUpdate odd =
         replica.apply({ Revision{ 7 }, true, { { Revision{ 4 }, ListingState::Present, listedTarget(1) } } }, start,
-                      { TargetId{ 2 } });
+                      { { TargetId{ 2 } }, {} });
     CHECK(odd.changes.empty());
     CHECK(replica.size() == 2);
     CHECK(replica.updateSince({}).changes.size() == 2);
--- a/tests/storedirectory_tests.cpp
+++ b/tests/storedirectory_tests.cpp
@@ -46,10 +46,10 @@
         constexpr std::uint32_t loopback = 127U << 24U;
         return loopback | (78U << 16U) | (static_cast<std::uint32_t>(getpid()) & 0xffffU);
     }
-    DirectoryResult read(DirectoryPart part)
+    DirectoryResult read(DirectoryPart part, ReadFreshness freshness = ReadFreshness::Current)
     {
         std::optional<DirectoryResult> result;
-        directory.read(part, ReadFreshness::Current, [&](DirectoryResult answer) {
+        directory.read(part, freshness, [&](DirectoryResult answer) {
             result = std::move(answer);
             loop.stop();
         });
@@ -197,3 +197,55 @@
     store.server.setFault(std::nullopt, StoreFault::None);
     CHECK(store.read(DirectoryPart::Targets).targets.size() == 60);
 }
+
+// Guards against a list that claims changes which one of its pages lacks: a watch from the revision of the first page
+// never brings them, so that a draining target stayed in use and a new one was unknown.
+TEST_CASE("a list has the revision of its oldest page, wherever that page stands")
+{
+    TestStore store;
+    for (std::size_t i = 0; i < 3 * pageSize; ++i) {
+        store.contents.put("servers", entryName(i), specOf(i));
+    }
+    const std::uint64_t before = store.contents.revision();
+    store.contents.put("servers", entryName(pageSize + 1), specOf(0));
+    const std::uint64_t between = store.contents.revision();
+    store.contents.erase("servers", entryName(2 * pageSize + 1));
+    const std::uint64_t last = store.contents.revision();
+    const std::vector<std::deque<std::uint64_t>> orders{ { last, before, between },
+                                                         { before, between, last },
+                                                         { last, between, before } };
+    for (const std::deque<std::uint64_t> &pages : orders) {
+        store.server.setNextStaleRevisions(pages);
+        const DirectoryResult result = store.read(DirectoryPart::Targets, ReadFreshness::MayBeStale);
+        CHECK(result.complete);
+        CHECK(result.revision.value == before);
+        REQUIRE(result.segments.size() == pages.size());
+        for (std::size_t page = 0; page < pages.size(); ++page) {
+            CHECK(result.segments[page].revision.value == pages[page]);
+        }
+        CHECK(result.segments.front().lastName == entryName(pageSize - 1));
+    }
+}
+
+TEST_CASE("the emulated store answers reads that may be stale as of an earlier revision")
+{
+    TestStore store;
+    store.contents.put("servers", entryName(0), specOf(0));
+    const std::uint64_t first = store.contents.revision();
+    store.contents.put("servers", entryName(1), specOf(1));
+    store.contents.erase("servers", entryName(0));
+    const auto listed = [&](std::uint64_t revision) {
+        store.server.setNextStaleRevisions({ revision });
+        const DirectoryResult result = store.read(DirectoryPart::Targets, ReadFreshness::MayBeStale);
+        CHECK(result.revision.value == revision);
+        std::vector<std::string> names;
+        for (const TargetChange &change : result.targets) {
+            names.push_back(change.target.target.name);
+        }
+        return names;
+    };
+    CHECK(listed(first - 1).empty());
+    CHECK(listed(first) == std::vector{ entryName(0) });
+    CHECK(listed(first + 1) == std::vector{ entryName(0), entryName(1) });
+    CHECK(listed(first + 2) == std::vector{ entryName(1) });
+}
