Ignore changes of an entry from before its removal

Cause: a change was compared with the known entry only. Of a removed entry nothing was compared, and the expired one was compared by "older than", though the store reports a removal with the entry's last revision.

Change: the revision at which a target left, which DepartedTargets remembers for 90 s anyway, counts like the revision of a known entry.

--- a/src/service/departedtargets.h
+++ b/src/service/departedtargets.h
@@ -55,6 +55,12 @@
     {
         withheld_.erase(target);
     }
+    /** @return the revision of the list that showed that the target left; 0 if none is remembered */
+    Revision leftAt(TargetId target) const
+    {
+        const auto known = departures_.find(target);
+        return known == departures_.end() ? Revision{} : known->second.revision;
+    }
     bool isWithheld(TargetId target) const
     {
         return withheld_.contains(target);
--- a/src/service/targetreplica.cpp
+++ b/src/service/targetreplica.cpp
@@ -146,11 +146,12 @@
             return isSuperseded(known->second.revision);
         }
     }
-    if (coverage_.isMixed() && change.listing == ListingState::Present && !entries_.contains(target.id)) {
-        const Revision missingAt = coverage_.revisionOf(target.name);
-        return change.revision <= missingAt && isSuperseded(missingAt);
+    if (change.listing != ListingState::Present || entries_.contains(target.id)) {
+        return false;
     }
-    return false;
+    const Revision unlistedAt = coverage_.isMixed() ? coverage_.revisionOf(target.name) : Revision{};
+    const Revision missingAt = std::max(unlistedAt, departed_.leftAt(target.id));
+    return change.revision <= missingAt && isSuperseded(missingAt);
 }
 
 void TargetReplica::applyChange(const TargetChange &change, const TargetUpdate &update,
--- a/tests/mixedlists_tests.cpp
+++ b/tests/mixedlists_tests.cpp
@@ -121,6 +121,20 @@
     CHECK_FALSE(replica.isMixed());
 }
 
+// Guards against targets that left and are in use again for some seconds by an old change of a peer.
+TEST_CASE("a removed entry does not come back with a change from before its removal")
+{
+    TargetReplica replica;
+    replica.apply(completeList(100, { entry("a", 50), entry("n", 50) }), at(0));
+    replica.apply(changes(101, { entry("b", 101) }), at(10));
+    replica.apply(changes(103, { gone("b", 103), gone("a", 50) }), at(20));
+    CHECK(replica.apply(changes(105, { entry("b", 101), entry("a", 50) }), at(30)).changes.empty());
+    CHECK(replica.size() == 1);
+    replica.onTimer(at(3000));
+    CHECK(replica.apply(changes(106, { entry("b", 101) }), at(3010)).changes.empty());
+    CHECK(lists(replica.apply(changes(107, { entry("b", 107) }), at(3020)), "b", ListingState::Present));
+}
+
 // Guards against the same faults in any order of restarts, take-overs and changes: balancers that start read each page
 // from another copy of the store.
 TEST_CASE("restarts with pages of different age, in random order: no live target is removed, none that drains is used")
