Compare target lists at equal revisions, and mend those that differ

Cause: the digest in the follower's beacon was compared only while the beacon's revision was larger than that of the list, and a beacon that was not larger confirmed the list of a balancer that starts whatever its digest.

Change: a beacon confirms a list at the start only if the digests are equal; otherwise the balancer asks the store for the changes since its list. Later, a list that differs from that of a follower with contact to the store for 0.9 s though neither lacks a change is reported (list-differs, lists_differed) and the follower is asked for its whole list. Either list can be wrong, so the follower reads its own from the store first, unless it did so lately; the period doubles while a read changes nothing. A complete list at the same revision is applied only in reply to such a request, and an unconfirmed list is sent as a whole only to a balancer that has none.

--- a/include/poplarroad/fleetmessages.h
+++ b/include/poplarroad/fleetmessages.h
@@ -44,6 +44,8 @@
     std::uint64_t serviceVersion = 0;
     Revision targets;
     bool changesOnly = false; ///< a complete list is not wanted, since the sender has a recent one
+    /** The sender's list differs from the receiver's though it lacks no change; the complete list is wanted. */
+    bool differs = false;
 
     friend bool operator==(const DirectoryRequest &, const DirectoryRequest &) = default;
 };
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -234,6 +234,7 @@
   serviceVersion @0 :UInt64;
   targets @1 :UInt64;
   changesOnly @2 :Bool;
+  differs @3 :Bool;
 }
 
 struct WeightedService {
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -49,6 +49,7 @@
     StoreFailures,
     TargetEntriesRefused,
     ListsTruncated,
+    ListsDiffered,
     ErasRefused,
 };
 
@@ -90,6 +91,7 @@
         EnumName<Counter>{ Counter::StoreFailures, "store_failures" },
         EnumName<Counter>{ Counter::TargetEntriesRefused, "target_entries_refused" },
         EnumName<Counter>{ Counter::ListsTruncated, "lists_truncated" },
+        EnumName<Counter>{ Counter::ListsDiffered, "lists_differed" },
         EnumName<Counter>{ Counter::ErasRefused, "eras_refused" },
     };
 };
--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -264,6 +264,15 @@
     callbacks_.toPackets(std::move(published.evacuations));
 }
 
+void DirectoryTask::perform(const ListDiffers &difference)
+{
+    counters_.add(Counter::ListsDiffered);
+    log_.write(LogEvent::ListDiffers, now(),
+               { { "follower", toString(difference.follower) },
+                 { "own_revision", static_cast<std::int64_t>(numberOf(difference.own)) },
+                 { "follower_revision", static_cast<std::int64_t>(numberOf(difference.followers)) } });
+}
+
 void DirectoryTask::perform(const FollowingChange &change)
 {
     metrics_.follows.set(change.follows ? 1 : 0);
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -59,6 +59,7 @@
     void perform(PublishTargets &&published);
     void perform(PublishEvacuations &&published);
     void perform(const FollowingChange &change);
+    void perform(const ListDiffers &difference);
     void perform(const DirectoryReady &ready);
     void onAnswer(DirectoryPart part, std::uint64_t number, DirectoryResult answer);
     /** Counts errors, and logs when the store becomes unreachable or reachable. */
--- a/src/host/eventlog.h
+++ b/src/host/eventlog.h
@@ -26,6 +26,7 @@
     StoreLost, ///< calls to the store fail
     StoreRecovered,
     ListTruncated, ///< a list of the store could not be read to its end
+    ListDiffers, ///< the target list differs from the follower's, which is requested
     StoreRead, ///< this balancer reads a part of the directory completely
     FollowingChanged, ///< this balancer starts to follow the store, or leaves that to another one
     ServicesChanged,
@@ -58,6 +59,7 @@
         EnumName<LogEvent>{ LogEvent::StoreLost, "store-lost" },
         EnumName<LogEvent>{ LogEvent::StoreRecovered, "store-regained" },
         EnumName<LogEvent>{ LogEvent::ListTruncated, "list-truncated" },
+        EnumName<LogEvent>{ LogEvent::ListDiffers, "list-differs" },
         EnumName<LogEvent>{ LogEvent::StoreRead, "store-read" },
         EnumName<LogEvent>{ LogEvent::FollowingChanged, "follow-store" },
         EnumName<LogEvent>{ LogEvent::ServicesChanged, "services-in-force" },
@@ -86,6 +88,7 @@
     case LogEvent::Paused:
     case LogEvent::StoreLost:
     case LogEvent::ListTruncated:
+    case LogEvent::ListDiffers:
     case LogEvent::EntryRefused:
     case LogEvent::EraRefused:
     case LogEvent::LinesDropped:
--- a/src/link/wirefleet.cpp
+++ b/src/link/wirefleet.cpp
@@ -269,7 +269,8 @@
     case schema::Envelope::DIRECTORY_REQUEST:
         return DirectoryRequest{ envelope.getDirectoryRequest().getServiceVersion(),
                                  Revision{ envelope.getDirectoryRequest().getTargets() },
-                                 envelope.getDirectoryRequest().getChangesOnly() };
+                                 envelope.getDirectoryRequest().getChangesOnly(),
+                                 envelope.getDirectoryRequest().getDiffers() };
     case schema::Envelope::DIRECTORY_CONTENT:
         return readContent(envelope.getDirectoryContent());
     case schema::Envelope::ZONE_INTRODUCTION:
@@ -293,6 +294,7 @@
                            to.setServiceVersion(request.serviceVersion);
                            to.setTargets(request.targets.value);
                            to.setChangesOnly(request.changesOnly);
+                           to.setDiffers(request.differs);
                        },
                        [&](const DirectoryContent &content) { writeContent(envelope.initDirectoryContent(), content); },
                        [&](const ZoneIntroduction &introduction) { writeIntroduction(envelope, introduction); },
--- a/src/service/directorysync.cpp
+++ b/src/service/directorysync.cpp
@@ -160,6 +160,9 @@
             const Revision revision = targetsTruncated_ ? targets_.revision() : answer.revision;
             const TargetUpdate update{ revision, answer.complete, std::move(answer.targets) };
             changed = applyTargets(update, reading, now, actions) || changed;
+            if (watcherOf(part).completelyReadAt() == now) {
+                verification_.onRead(targets_.digest(), now);
+            }
         }
         if (part == DirectoryPart::Evacuations) {
             applyEvacuations(answer, now, actions);
--- a/src/service/directorysync.h
+++ b/src/service/directorysync.h
@@ -6,6 +6,7 @@
 #include "service/directoryelection.h"
 #include "service/directorytiming.h"
 #include "service/directorywatcher.h"
+#include "service/listcomparison.h"
 #include "service/targetreplica.h"
 #include "zone/evacuationset.h"
 #include "zone/seededrandom.h"
@@ -72,6 +73,14 @@
     std::optional<Milliseconds> contactAge; ///< of this balancer's own contact to the store
 };
 
+/** This balancer's target list differs from the follower's at the same revision, and the follower's is requested. */
+struct ListDiffers
+{
+    HostAddress follower;
+    Revision own; ///< of the last change of this balancer's list
+    Revision followers; ///< of the last change of the follower's list
+};
+
 /** The services and targets are known and confirmed; happens once. */
 struct DirectoryReady
 {
@@ -79,7 +88,7 @@
 };
 
 using DirectoryAction = std::variant<CallStore, SendFleetMessage, PublishServices, PublishTargets, PublishEvacuations,
-                                     AddPeers, FollowingChange, DirectoryReady>;
+                                     AddPeers, FollowingChange, ListDiffers, DirectoryReady>;
 using DirectoryActions = std::vector<DirectoryAction>;
 
 /**
@@ -226,6 +235,10 @@
                   DirectoryActions &actions);
     /** Requests what a beacon shows to be newer from its sender. */
     void requestNewer(const HostAddress &from, const DirectoryBeacon &beacon, TimePoint now, DirectoryActions &actions);
+    /** Compares the target list with that of a follower, and requests that one if the two differ for good. */
+    void compareList(const DirectoryBeacon &beacon, TimePoint now, DirectoryActions &actions);
+    /** Sends the list to a balancer whose list differs; reads it from the store first unless that was done lately. */
+    void replyToDifference(const HostAddress &from, const DirectoryRequest &request, TimePoint now);
     void onContent(ZoneId zone, const DirectoryContent &content, TimePoint now, DirectoryActions &actions);
     void sendBeacon(TimePoint now, DirectoryActions &actions);
     /** Requests content, its confirmation, or an introduction to others of the zone, as far as this is still needed. */
@@ -265,6 +278,8 @@
     TargetReplica targets_;
     EvacuationSet evacuations_;
     DirectoryElection election_;
+    ListComparison comparison_; ///< with the list of the follower
+    ListVerification verification_; ///< of the own list, while this balancer follows
     ContentQueue changeQueue_; ///< balancers that lack only recent changes
     ContentQueue completeListQueue_; ///< balancers that need the complete target list
     std::vector<std::pair<ZoneId, std::deque<HostAddress>>> requesters_; ///< by other zone, latest last
--- a/src/service/directorysyncpeers.cpp
+++ b/src/service/directorysyncpeers.cpp
@@ -50,7 +50,9 @@
     if (const auto beacon = election_.knownBeacon(state(), now)) {
         actions.emplace_back(SendFleetMessage{ { from }, *beacon });
     }
-    if (ready_) {
+    if (request.differs) {
+        replyToDifference(from, request, now);
+    } else if (ready_) {
         const bool lacksHistory = request.changesOnly && !targets_.hasChangesSince(request.targets);
         queueContent({ from }, { {}, request.serviceVersion, request.targets, lacksHistory });
     }
@@ -59,6 +61,19 @@
     }
 }
 
+void DirectorySync::replyToDifference(const HostAddress &from, const DirectoryRequest &request, TimePoint now)
+{
+    DirectoryWatcher &watcher = watcherOf(DirectoryPart::Targets);
+    if (!election_.follows() || watcher.isReading()) {
+        return; // the sender compares its list with the next beacons again
+    }
+    if (verification_.isDue(now)) {
+        watcher.verify(now);
+        return;
+    }
+    queueContent({ from }, { {}, request.serviceVersion, {}, false });
+}
+
 void DirectorySync::sendIntroduction(const HostAddress &to, ZoneId zone, DirectoryActions &actions)
 {
     auto known =
@@ -86,16 +101,18 @@
                              DirectoryActions &actions)
 {
     election_.onBeacon(beacon, now);
-    if (beacon.targets > targets_.lastChange() && beacon.targetsDigest == targets_.digest() && hasContent()) {
+    const bool sameTargets = beacon.targetsDigest == targets_.digest() && hasContent();
+    if (beacon.targets > targets_.lastChange() && sameTargets) {
         targets_.confirmSame(beacon.targets, now);
     }
     requestNewer(from, beacon, now, actions);
+    compareList(beacon, now, actions);
     const bool hasContact = Milliseconds(beacon.contactAgeMs) < DirectoryElection::MaxContactAge;
     applyEvacuations(beacon.evacuations, hasContact, now, actions);
     replyToOutdated(from, beacon, actions);
     const bool isBehind = std::any_of(lags_.begin(), lags_.end(), [](const Lag &lag) { return lag.since.has_value(); });
     // After a change of era, only the content of a peer shows which targets that left the list still has.
-    confirmed_ = confirmed_ || (hasContent() && hasContact && !isBehind && eraOf(targets_.revision()) == 0);
+    confirmed_ = confirmed_ || (sameTargets && hasContact && !isBehind && eraOf(targets_.revision()) == 0);
     if (zone != identity_.zone && !beacon.relayed) {
         DirectoryBeacon relayed = beacon;
         relayed.relayed = true;
@@ -103,6 +120,23 @@
     }
 }
 
+void DirectorySync::compareList(const DirectoryBeacon &beacon, TimePoint now, DirectoryActions &actions)
+{
+    // A follower without contact to the store vouches for no list, nor does one of another era.
+    const bool isCurrent = Milliseconds(beacon.targetsContactAgeMs) < DirectoryElection::MaxContactAge;
+    const bool isBehind = beacon.targets > targets_.lastChange();
+    if (election_.follows() || !isCurrent || isBehind || !isOfOwnEra(beacon.targets) || !hasCompleteTargets()
+        || targetsTruncated_) {
+        return;
+    }
+    if (comparison_.onBeacon(beacon.targetsDigest == targets_.digest(), now)) {
+        actions.emplace_back(ListDiffers{ beacon.follower, targets_.lastChange(), beacon.targets });
+        actions.emplace_back(SendFleetMessage{
+            { beacon.follower },
+            DirectoryRequest{ services_ ? services_->version : 0, targets_.revision(), false, true } });
+    }
+}
+
 void DirectorySync::requestNewer(const HostAddress &from, const DirectoryBeacon &beacon, TimePoint now,
                                  DirectoryActions &actions)
 {
@@ -140,8 +174,9 @@
     const Revision lastChange = targets_.lastChange();
     bool changed = content.services && applyServices(content.services, actions);
     // Ignores changes that leave a gap after the known list; at the next beacon this balancer requests all of them.
-    const bool applies =
-        content.targets.complete || (before.targets.value != 0 && content.targetsAfter <= before.targets);
+    const bool applies = content.targets.complete
+        ? content.targets.revision != before.targets || comparison_.isMending()
+        : before.targets.value != 0 && content.targetsAfter <= before.targets;
     // A peer of an earlier era neither replaces nor confirms the list.
     if (!content.targets.complete && eraOf(content.targets.revision) > eraOf(before.targets)) {
         TargetUpdate applied = targets_.applyAcrossEras(content.targets, content.targetsAfter, now);
@@ -234,8 +269,9 @@
     }
     // While changes are delayed, balancers still use targets that leave; complete lists must not delay changes.
     const bool isShort = known.servicesOnly || targets_.hasChangesSince(known.targets);
-    if (!isShort && targets_.isMixed()) {
-        // Of no revision as a whole: the receiver could not tell which of its changes are older than an entry.
+    const bool receiverHasList = known.targets.value != 0;
+    if (!isShort && (targets_.isMixed() || (receiverHasList && !confirmed_))) {
+        // A mixed list is the list of no revision, and one that nobody confirmed must not replace another.
         return;
     }
     ContentQueue &queue = isShort ? changeQueue_ : completeListQueue_;
--- a/src/service/directorywatcher.cpp
+++ b/src/service/directorywatcher.cpp
@@ -51,6 +51,7 @@
         readAgainAt_.reset();
     }
     currentAt_ = mayBeStale || readAgainAt_ ? currentAt_ : now;
+    completelyReadAt_ = wasRead && !mayBeStale && !answer.truncated ? now : completelyReadAt_;
     if (!following_) {
         step_ = Step::Idle;
     } else if (mayBeStale) {
@@ -119,6 +120,14 @@
     begin(known.value == 0 ? Step::Read : Step::CatchUp, StoreCallReason::CatchUp, now);
 }
 
+void DirectoryWatcher::verify(TimePoint now)
+{
+    if (following_ && step_ == Step::Watch) {
+        inProgress_ = false;
+        begin(Step::Read, StoreCallReason::Verify, now);
+    }
+}
+
 void DirectoryWatcher::skipStart()
 {
     if (step_ == Step::StartRead && !following_) {
--- a/src/service/directorywatcher.h
+++ b/src/service/directorywatcher.h
@@ -33,6 +33,7 @@
     Takeover, ///< this balancer begins to follow the store
     Retry, ///< an earlier call failed
     CatchUp, ///< for the changes after a list that may be old
+    Verify, ///< another balancer's list differs
     Watch,
 };
 
@@ -44,6 +45,7 @@
         EnumName<StoreCallReason>{ StoreCallReason::Takeover, "takeover" },
         EnumName<StoreCallReason>{ StoreCallReason::Retry, "retry" },
         EnumName<StoreCallReason>{ StoreCallReason::CatchUp, "catch-up" },
+        EnumName<StoreCallReason>{ StoreCallReason::Verify, "verify" },
         EnumName<StoreCallReason>{ StoreCallReason::Watch, "watch" },
     };
 };
@@ -96,6 +98,18 @@
     void setFollowing(bool following, TimePoint now);
     /** Requests the changes after a revision once, or the complete part if the revision is 0; not while following. */
     void catchUp(Revision known, TimePoint now);
+    /** Reads the complete part again while following, in place of the watch in progress. */
+    void verify(TimePoint now);
+    /** @return whether a complete read of the current contents is in progress or due */
+    bool isReading() const
+    {
+        return step_ == Step::Read;
+    }
+    /** @return when a complete read of the current contents last ended; unset if none did */
+    std::optional<TimePoint> completelyReadAt() const
+    {
+        return completelyReadAt_;
+    }
     /** Ends the attempts to read the part at the start, since peers sent it. */
     void skipStart();
     /** Abandons the call in progress, which may never be answered; a follower reads the part completely. */
@@ -166,6 +180,7 @@
     std::optional<TimePoint> answeringSince_;
     std::optional<TimePoint> lastFailure_;
     std::optional<TimePoint> currentAt_;
+    std::optional<TimePoint> completelyReadAt_;
     std::optional<TimePoint> readAgainAt_; ///< set after a truncated list
 };
 
--- a/tests/directoryfleet.h
+++ b/tests/directoryfleet.h
@@ -72,6 +72,11 @@
     {
         pageStaleness_ = longest;
     }
+    /** Leaves a target out of the next list that a balancer reads, which claims to be complete all the same. */
+    void omitFromNextList(std::size_t balancer, std::uint64_t target)
+    {
+        omission_ = { balancer, TargetId{ target } };
+    }
     void putTarget(std::uint64_t id, TargetState state = TargetState::Active);
     void removeTarget(std::uint64_t id);
     void putServices();
@@ -122,6 +127,11 @@
     {
         return removals_;
     }
+    /** @return how often balancers asked the follower for its list since it differed from theirs */
+    std::uint64_t differences() const
+    {
+        return differences_;
+    }
     /** @return how the readers of a balancer's list see a target; Gone if they do not have it */
     ListingState listing(std::size_t balancer, std::uint64_t target) const;
     /** @return whether a balancer may open flows to a target */
@@ -215,7 +225,7 @@
     void answer(std::size_t balancer, std::uint64_t process, DirectoryPart part, std::uint64_t number,
                 DirectoryResult result, Milliseconds delay);
     bool reachesStore(std::size_t balancer) const;
-    DirectoryResult list(DirectoryPart part, ReadFreshness freshness);
+    DirectoryResult list(std::size_t balancer, DirectoryPart part, ReadFreshness freshness);
     /** The target list as it was some time ago. */
     struct PastList
     {
@@ -257,11 +267,13 @@
     bool storeUp_ = true;
     std::set<std::size_t> refused_;
     std::optional<LostWatch> lostWatch_;
+    std::optional<std::pair<std::size_t, TargetId>> omission_; ///< see omitFromNextList()
     std::optional<std::size_t> isolated_;
     Milliseconds staleness_{ 0 };
     Milliseconds pageStaleness_{ 0 };
     StoreCallCounts calls_;
     std::uint64_t removals_ = 0;
+    std::uint64_t differences_ = 0;
     std::uint64_t zonesReturned_ = 0;
 };
 
--- a/tests/fakedirectoryfleet.cpp
+++ b/tests/fakedirectoryfleet.cpp
@@ -186,6 +186,7 @@
                                removals_ += change.listing == ListingState::Gone ? 1 : 0;
                            }
                        },
+                       [&](const ListDiffers &) { ++differences_; },
                        [&](const PublishEvacuations &published) { record(index, published); },
                        [](const auto &) {},
                    },
@@ -237,7 +238,7 @@
                        const std::size_t pages =
                            part != DirectoryPart::Targets ? 1 : std::max<std::size_t>(1, targets_.size() / PageSize);
                        (read.freshness == ReadFreshness::Current ? calls_.current : calls_.stale) += pages;
-                       answer(index, process, part, number, list(part, read.freshness),
+                       answer(index, process, part, number, list(index, part, read.freshness),
                               StoreDelay * static_cast<std::int64_t>(pages));
                    },
                    [&](const WatchPart &watch) {
@@ -371,12 +372,21 @@
         && balancers_[balancer].published.at(TargetId{ target }).target.target.state == TargetState::Active;
 }
 
-DirectoryResult DirectoryFleet::list(DirectoryPart part, ReadFreshness freshness)
+DirectoryResult DirectoryFleet::list(std::size_t balancer, DirectoryPart part, ReadFreshness freshness)
 {
     if (part == DirectoryPart::Services) {
         return changes(part, {});
     }
-    return part == DirectoryPart::Evacuations ? evacuationList() : listInPages(freshness);
+    if (part == DirectoryPart::Evacuations) {
+        return evacuationList();
+    }
+    DirectoryResult result = listInPages(freshness);
+    if (omission_ && omission_->first == balancer) {
+        std::erase_if(result.targets,
+                      [&](const TargetChange &listed) { return listed.target.target.id == omission_->second; });
+        omission_.reset();
+    }
+    return result;
 }
 
 DirectoryFleet::PastList DirectoryFleet::listBefore(Milliseconds age) const
--- a/tests/wirefleet_tests.cpp
+++ b/tests/wirefleet_tests.cpp
@@ -75,7 +75,7 @@
 
 TEST_CASE("a directory request and a zone introduction are decoded to what was encoded")
 {
-    const DirectoryRequest request{ 7, Revision{ 8 } };
+    const DirectoryRequest request{ 7, Revision{ 8 }, false, true };
     CHECK(std::get<DirectoryRequest>(roundTrip(request)) == request);
     const ZoneIntroduction introduction{ { { 0x0a000001, 7000 }, { 0x0a000002, 7000 } } };
     CHECK(std::get<ZoneIntroduction>(roundTrip(introduction)) == introduction);
