Keep the open flows of a target that answers though its entry is gone

Cause: the removal of an entry reset all its flows, whatever the packets of those flows showed. The wrong list was the first cause; the reset made it a loss of requests.

Change: flows of a target whose entry expired and was removed are kept while the target has answered since 0.2 s after the entry disappeared and within the last second. A target that no longer answers is reset as before, idle flows included; new flows do not go to either. The protocol says that a missing entry is to be treated as gone, which holds for new flows; docs/design/directory-revisions.md has the evidence that is needed for a reset.

Tests: flowrouter_tests "flows of a target that answers are kept though its entry is gone, until it no longer answers" fails without the change (5 assertions); the one after it guards the opposite: an answer that was on its way when the entry disappeared keeps no flow.

--- a/src/service/flowrouter.cpp
+++ b/src/service/flowrouter.cpp
@@ -10,6 +10,8 @@
 
 /** Interval of the search for idle flows; limits the extra memory to the new flows of one second. */
 constexpr Milliseconds ExpiryPeriod{ 1000 };
+/** Interval at which targets that answer though their entries are gone are checked. */
+constexpr Milliseconds UnlistedCheckPeriod{ 250 };
 /** Added to the idle timeout for packets that are still in transit. */
 constexpr std::chrono::seconds ExpirySlack{ 2 };
 /**
@@ -178,7 +180,8 @@
     if (!target) {
         return DropPacket{ DropReason::UnknownTag };
     }
-    if (targets_.at(*target).listing == ListingState::Gone) {
+    const TargetEntry &entry = targets_.at(*target);
+    if (entry.listing == ListingState::Gone && !entry.answersUnlisted(now)) {
         flows_.remove(packet.flow);
         return ResetFlow{ packet.flow, packet.acknowledged, ResetReason::TargetGone };
     }
@@ -363,7 +366,7 @@
 
 void FlowRouter::onTimer(TimePoint now, std::vector<ResetFlow> &resets)
 {
-    resetFlowsOfFailedTargets(resets);
+    resetFlowsOfFailedTargets(now, resets);
     peerLoads_.expire(now, targets_);
     if (services_ && now >= nextExpiry_) {
         flows_.expire(now - services_->idleTimeout - ExpirySlack);
@@ -372,17 +375,25 @@
         nextExpiry_ = now + ExpiryPeriod;
     }
     nextTimer_ = std::min(std::max(nextExpiry_, now + ExpiryPeriod / 2), watch_.onTimer(now));
+    if (!failedTargets_.empty()) {
+        nextTimer_ = std::min(nextTimer_, now + UnlistedCheckPeriod);
+    }
 }
 
-void FlowRouter::resetFlowsOfFailedTargets(std::vector<ResetFlow> &resets)
+void FlowRouter::resetFlowsOfFailedTargets(TimePoint now, std::vector<ResetFlow> &resets)
 {
     std::vector<FlowKey> keys;
+    absl::flat_hash_set<TargetIndex> stillAnswering;
     for (const TargetIndex index : failedTargets_) {
         const TargetEntry &target = targets_.at(index);
         const bool gone = target.listing == ListingState::Gone;
         if (!gone && target.detector.liveness() != TargetLiveness::Silent) {
             continue;
         }
+        if (gone && target.answersUnlisted(now)) {
+            stillAnswering.insert(index);
+            continue;
+        }
         keys.clear();
         flows_.appendKeys(index, keys);
         for (const FlowKey &key : keys) {
@@ -394,7 +405,7 @@
             }
         }
     }
-    failedTargets_.clear();
+    failedTargets_ = std::move(stillAnswering);
 }
 
 } // namespace poplarroad
--- a/src/service/flowrouter.h
+++ b/src/service/flowrouter.h
@@ -209,8 +209,8 @@
     void observeRetransmission(const FlowKey &key, PacketFlow &flow, TimePoint now);
     /** Records a change of the liveness since `before`; schedules the reset of flows if the target became silent. */
     void recordLivenessChange(TargetIndex target, TargetLiveness before, TimePoint now);
-    /** Resets the flows of targets that became silent or are gone. */
-    void resetFlowsOfFailedTargets(std::vector<ResetFlow> &resets);
+    /** Resets the flows of targets that became silent, and of those that are gone and no longer answer. */
+    void resetFlowsOfFailedTargets(TimePoint now, std::vector<ResetFlow> &resets);
     /** @return the service for a new flow of the route, chosen by weight */
     ServiceId pickService(const ServiceRoute &route, const Packet &packet) const;
     /** @return the target for a new flow, or nothing if none accepts one */
--- a/src/target/targettable.cpp
+++ b/src/target/targettable.cpp
@@ -62,6 +62,9 @@
     if (newInstance || entry.listing != change.listing) {
         entry.listingSince = now;
     }
+    if (newInstance || entry.listing == ListingState::Present) {
+        entry.missingSince = now;
+    }
     if (newInstance || relisted) {
         entry.detector.reset(now);
     }
@@ -83,6 +86,7 @@
 {
     TargetEntry &entry = entries_[index.value];
     if (entry.listing != ListingState::Gone) {
+        entry.missingSince = entry.listing == ListingState::Present ? now : entry.missingSince;
         entry.listing = ListingState::Gone;
         entry.listingSince = now;
     }
--- a/src/target/targettable.h
+++ b/src/target/targettable.h
@@ -25,6 +25,7 @@
     TimePoint knownSince; ///< when the entry was added to the table
     std::uint64_t claimedNumber = 0; ///< Target::number, by which the table finds the entry
     TimePoint listingSince;
+    TimePoint missingSince; ///< when the entry disappeared, of a target that is expired or gone
     TimePoint warmupEnd; ///< until then the target runs at reduced speed
     std::uint32_t flows = 0; ///< forwarded by this balancer, including those in the handshake
     std::uint32_t busyFlows = 0; ///< those of `flows` that wait for an answer
@@ -32,6 +33,23 @@
     std::uint32_t peerBusyFlows = 0; ///< those of `peerFlows` that wait for an answer
     LivenessDetector detector;
     TargetEvidence evidence; ///< maintained by TargetComparison
+
+    /** Answers that were on their way when the entry disappeared arrive within this time. */
+    static constexpr Milliseconds AnswerDelay{ 200 };
+    /** A target without any answer for this long is taken for ended once its entry is gone. */
+    static constexpr Milliseconds MaxAnswerAge{ 1000 };
+
+    /**
+     * Callers' acknowledgements of answers are evidence against a list that lacks the target.
+     *
+     * @return whether the target has answered since its entry disappeared, and lately
+     */
+    bool answersUnlisted(TimePoint now) const
+    {
+        const Milliseconds sinceAnswer(detector.sinceProgressMs(now));
+        return listing != ListingState::Present && sinceAnswer <= MaxAnswerAge
+            && now - sinceAnswer >= missingSince + AnswerDelay;
+    }
 };
 
 /** Targets that are listed or were recently, indexed by id, tag and service. */
--- a/tests/flowrouter_tests.cpp
+++ b/tests/flowrouter_tests.cpp
@@ -87,6 +87,55 @@
     CHECK(reasonOf(caller.request(at(1010))) == ResetReason::TargetGone);
 }
 
+// Guards against open flows of a live target that are reset because a list lacks its entry.
+TEST_CASE("flows of a target that answers are kept though its entry is gone, until it no longer answers")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller busy(router, 1000);
+    Caller idle(router, 1001);
+    for (Caller *caller : { &busy, &idle }) {
+        caller->open(at(0));
+        caller->request(at(5));
+        caller->acknowledge(at(50));
+    }
+    TargetChange expired = listed(1);
+    expired.listing = ListingState::Expired;
+    router.setTargets({ expired, listed(2) }, false, at(100));
+    for (int time = 300; time <= 2200; time += 300) {
+        busy.request(at(time));
+        busy.acknowledge(at(time + 50));
+    }
+    router.setTargets({ gone(1) }, false, at(2300));
+    std::vector<ResetFlow> resets;
+    router.onTimer(at(2300), resets);
+    CHECK(resets.empty());
+    CHECK(targetOf(busy.request(at(2400))) == TargetId{ 1 });
+    CHECK(targetOf(idle.request(at(2400))) == TargetId{ 1 });
+    Caller opening(router, 1002);
+    CHECK(targetOf(opening.open(at(2410))) == TargetId{ 2 });
+    busy.acknowledge(at(2450));
+    CHECK(router.nextTimer() <= at(2600));
+    router.onTimer(at(3400), resets);
+    CHECK(resets.empty());
+    router.onTimer(at(3500), resets);
+    CHECK(resets.size() == 2);
+    CHECK(reasonOf(busy.request(at(3510))) == ResetReason::TargetGone);
+}
+
+// Guards against flows that wait at a target that ended, since answers from before its end seem to contradict the list.
+TEST_CASE("an answer that was on its way when the entry disappeared does not keep the flows of a target")
+{
+    FlowRouter router = routerWith({ listed(1) });
+    Caller caller(router, 1000);
+    caller.open(at(0));
+    caller.request(at(950));
+    router.setTargets({ gone(1), listed(2) }, false, at(1000));
+    std::vector<ResetFlow> resets;
+    router.onTimer(at(1000), resets);
+    CHECK(resets.size() == 1);
+    CHECK(reasonOf(caller.acknowledge(at(1005))) == ResetReason::TargetGone);
+}
+
 TEST_CASE("flows of a silent target are reset, except those that wait for a non-idempotent request")
 {
     FlowRouter router = routerWith({ listed(1) });
