Do not confirm a list by content that is older than it

A balancer that starts reads a list that may be stale and waits for a confirmation. Content of a peer whose list was older than that list confirmed it, although that peer may lack the same changes: the balancer was ready and used targets that drain until the next beacon.

Change: in the first era only content at the list's revision or later confirms it. In a later era content still confirms, since only it names the departed targets.

--- a/src/service/directorysyncpeers.cpp
+++ b/src/service/directorysyncpeers.cpp
@@ -185,7 +185,9 @@
     } else if (applies && eraOf(content.targets.revision) >= eraOf(before.targets)) {
         targetsTruncated_ = targetsTruncated_ && !content.targets.complete;
         changed = applyTargets(content.targets, {}, now, actions) || changed;
-        confirmed_ = confirmed_ || hasContent();
+        // A peer with an older list may lack the same changes. In a later era only its content has the departed targets.
+        const bool confirms = content.targets.revision >= before.targets || eraOf(before.targets) > 0;
+        confirmed_ = confirmed_ || (confirms && hasContent());
     } else {
         publish(targets_.applyUnlistedState(content.targets.changes, now), actions);
     }
--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -424,6 +424,42 @@
     }
 }
 
+// Guards against a stale list that is confirmed by a peer whose list is older, or by a beacon of a follower whose list
+// differs: the balancer then used targets that drain, and did not know new ones.
+TEST_CASE("a list that was read at the start is confirmed neither by older content nor by a different list")
+{
+    StartingBalancer balancer;
+    balancer.answer(DirectoryPart::Services, servicesAt(9), at(4));
+    DirectoryResult list = answerAt(9);
+    list.complete = true;
+    list.targets = { present(1, 3) };
+    balancer.answer(DirectoryPart::Targets, list, at(8));
+    DirectoryContent older;
+    older.targets = changes(7, {});
+    older.targetsAfter = Revision{ 9 };
+    balancer.sync.onMessage(highAddress, ZoneId{}, older, at(10), balancer.actions);
+    DirectoryBeacon beacon = beaconOf(highAddress, 20);
+    beacon.targetsDigest = balancer.sync.targets().digest() + 1;
+    balancer.sync.onMessage(highAddress, ZoneId{}, beacon, at(20), balancer.actions);
+    CHECK_FALSE(balancer.sync.ready());
+    SECTION("the follower has the same list")
+    {
+        beacon.targetsDigest = balancer.sync.targets().digest();
+        balancer.sync.onMessage(highAddress, ZoneId{}, beacon, at(30), balancer.actions);
+        CHECK(balancer.sync.ready());
+    }
+    SECTION("the store has the changes since")
+    {
+        balancer.runUntil(at(100));
+        REQUIRE(std::holds_alternative<WatchPart>(balancer.all<CallStore>().back().due.call));
+        DirectoryResult since = answerAt(10);
+        since.targets = { present(1, 10, TargetState::Draining) };
+        balancer.answer(DirectoryPart::Targets, since, at(110));
+        CHECK(balancer.sync.ready());
+        CHECK(balancer.all<DirectoryReady>().back().confirmed);
+    }
+}
+
 TEST_CASE("a truncated list removes no target and does not advance the revision, nor do the changes after it")
 {
     DirectorySync sync = readySync();
