--- a/src/host/directorytask.cpp
+++ b/src/host/directorytask.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarroad/visitor.h"
 
+#include <algorithm>
 #include <random>
 
 namespace poplarroad
@@ -155,6 +156,7 @@
                      { "entries", static_cast<std::int64_t>(answer.targets.size()) },
                      { "refused", static_cast<std::int64_t>(answer.refused.size()) } });
     }
+    recordListAge(part, answer);
     DirectoryActions actions;
     sync_.onStoreAnswer(part, number, std::move(answer), now(), actions);
     execute(std::move(actions));
@@ -178,6 +180,21 @@
     }
 }
 
+void DirectoryTask::recordListAge(DirectoryPart part, const DirectoryResult &list)
+{
+    Revision newest = list.revision;
+    for (const ListSegment &segment : list.segments) {
+        newest = std::max(newest, segment.revision);
+    }
+    if (newest > list.revision) {
+        log_.write(LogEvent::ListMixed, now(),
+                   { { "part", nameOf(part) },
+                     { "pages", static_cast<std::int64_t>(list.segments.size()) },
+                     { "oldest_revision", static_cast<std::int64_t>(numberOf(list.revision)) },
+                     { "newest_revision", static_cast<std::int64_t>(numberOf(newest)) } });
+    }
+}
+
 void DirectoryTask::recordRefusedEra(const std::optional<std::string> &value)
 {
     if (!value) {
--- a/src/host/directorytask.h
+++ b/src/host/directorytask.h
@@ -67,6 +67,8 @@
     /** Remembers the names of zones, which messages of other balancers do not contain. */
     void rememberZones(const std::vector<EvacuationChange> &changes);
     /** Counts what the store sent in place of an era, and logs it once in a while. */
+    /** Reports a list whose pages are of different age. */
+    void recordListAge(DirectoryPart part, const DirectoryResult &list);
     void recordRefusedEra(const std::optional<std::string> &value);
     /** Logs when the target list is of another era. */
     void recordEra();
--- a/src/host/eventlog.h
+++ b/src/host/eventlog.h
@@ -26,6 +26,7 @@
     StoreLost, ///< calls to the store fail
     StoreRecovered,
     ListTruncated, ///< a list of the store could not be read to its end
+    ListMixed, ///< the pages of a list of the store are of different age
     ListDiffers, ///< the target list differs from the follower's, which is requested
     StoreRead, ///< this balancer reads a part of the directory completely
     FollowingChanged, ///< this balancer starts to follow the store, or leaves that to another one
@@ -59,6 +60,7 @@
         EnumName<LogEvent>{ LogEvent::StoreLost, "store-lost" },
         EnumName<LogEvent>{ LogEvent::StoreRecovered, "store-regained" },
         EnumName<LogEvent>{ LogEvent::ListTruncated, "list-truncated" },
+        EnumName<LogEvent>{ LogEvent::ListMixed, "list-mixed" },
         EnumName<LogEvent>{ LogEvent::ListDiffers, "list-differs" },
         EnumName<LogEvent>{ LogEvent::StoreRead, "store-read" },
         EnumName<LogEvent>{ LogEvent::FollowingChanged, "follow-store" },
