Probe the connections between balancers, and replace those that fall silent

Cause: a connection between balancers had a timeout only while it connected. What does not fit a datagram was written to the silent connection for as long as the process lived, up to 32 MB of it.

Change: empty frames are probes, which the side that accepted the connection answers. Each outgoing connection is probed every 3 s, and after each message with content of the directory; one without an answer for 250 ms is closed, and the next message opens a new one. A compile-time check holds the timeout to the time that DirectoryTiming allows for a delivery. Balancers of earlier versions answer no probe, so only one that has answered before can fall silent. The queue of a connection of the packet front end is limited to 4 MB.

--- a/src/host/peertask.cpp
+++ b/src/host/peertask.cpp
@@ -2,6 +2,7 @@
 
 #include "incarnation.h"
 #include "poplarroad/visitor.h"
+#include "service/directorytiming.h"
 
 #include <unistd.h>
 
@@ -13,6 +14,13 @@
 namespace
 {
 
+/** Interval of the probes of each link: links that fell silent are replaced before the next message needs them. */
+constexpr Milliseconds ProbePeriod{ 3000 };
+/** Time for the answer to a probe; allows for a round trip between zones and a busy small machine. */
+constexpr Milliseconds ProbeTimeout{ 250 };
+static_assert(ProbeTimeout <= DirectoryTiming::DeliveryTime,
+              "a message that is lost on a silent link must be noticed within the time for its delivery");
+
 TimePoint now()
 {
     return std::chrono::steady_clock::now();
@@ -33,9 +41,12 @@
 {
     FrameLimits limits;
     limits.maxFrameBytes = MaxFrame + PeerAuth::Overhead;
-    // The queue has to hold the largest complete configuration that the design allows for.
-    limits.maxQueuedBytes = 32 * MaxFrame;
+    // The queue has to hold the largest complete configuration that the design allows for. The packet front end sends
+    // none, and its content is limited to a fraction of the link.
+    const bool sendsConfigurations = settings.frontend == Frontend::Requests;
+    limits.maxQueuedBytes = (sendsConfigurations ? 32 : 4) * MaxFrame;
     limits.connectTimeout = settings.connectTimeout;
+    limits.probes = true;
     return limits;
 }
 
@@ -59,6 +70,7 @@
                  membership_.onTimer(now(), actions);
                  execute(actions);
              })
+    , probeTimer_(loop_, [this] { onProbeTimer(); })
     , mailbox_(loop_, [this](PeerTaskMessage &&message) { handle(std::move(message)); })
 {
 }
@@ -180,13 +192,21 @@
 void PeerTask::sendFleetMessage(const SendFleetMessage &send)
 {
     const std::string encoded = encodeFleetMessage(send.message);
+    bool probed = false;
     for (const HostAddress &host : send.hosts) {
         if (encoded.size() + PeerAuth::Overhead <= MaxDatagram) {
             sendDatagram(host, encoded);
         } else {
             counters_.add(Counter::PeerControlBytesSent, sendFrame(host, encoded));
+            if (std::holds_alternative<DirectoryContent>(send.message)) {
+                outgoingLinks_.at(host)->probe(now());
+                probed = true;
+            }
         }
     }
+    if (probed) {
+        armProbeTimer();
+    }
 }
 
 void PeerTask::sendDatagram(const HostAddress &host, const std::string &encoded)
@@ -209,6 +229,10 @@
         link = std::make_unique<FrameConnection>(
             loop_, host, limits_, [](std::string_view) {}, [this, host](ConnectionEnd end) { onLinkEnd(host, end); });
     }
+    if (nextProbe_ == TimePoint{}) {
+        nextProbe_ = now() + ProbePeriod;
+        armProbeTimer();
+    }
     const std::string bytes = signer_.sign(encoded, host);
     if (!link->send(bytes)) {
         // The peer does not read. Requests sent to it end at their deadlines.
@@ -229,6 +253,54 @@
     senders_.toCallers(PeerLinkLost{ host });
 }
 
+TimePoint PeerTask::silentAt(const HostAddress &host, const FrameConnection &link) const
+{
+    const bool answers = link.hasAnsweredProbe() || probedHosts_.contains(host);
+    return answers ? link.silentAt(ProbeTimeout) : TimePoint::max();
+}
+
+void PeerTask::onProbeTimer()
+{
+    const TimePoint time = now();
+    closeSilentLinks(time);
+    if (time >= nextProbe_) {
+        for (const auto &[host, link] : outgoingLinks_) {
+            link->probe(time);
+        }
+        nextProbe_ = time + ProbePeriod;
+    }
+    armProbeTimer();
+}
+
+void PeerTask::closeSilentLinks(TimePoint now)
+{
+    std::vector<HostAddress> silent;
+    for (const auto &[host, link] : outgoingLinks_) {
+        if (now >= silentAt(host, *link)) {
+            silent.push_back(host);
+        } else if (link->hasAnsweredProbe()) {
+            probedHosts_.insert(host);
+        }
+    }
+    for (const HostAddress &host : silent) {
+        if (!outgoingLinks_.at(host)->hasAnsweredProbe()) {
+            // The host may run an earlier version now, which answers no probe.
+            probedHosts_.erase(host);
+        }
+        counters_.add(Counter::PeerLinksSilent);
+        onLinkEnd(host, ConnectionEnd::Closed);
+    }
+}
+
+void PeerTask::armProbeTimer()
+{
+    TimePoint due = nextProbe_;
+    for (const auto &[host, link] : outgoingLinks_) {
+        due = std::min(due, silentAt(host, *link));
+    }
+    probeTimer_.armAt(due);
+}
+
 void PeerTask::onPaused(Incarnation incarnation)
 {
     counters_.add(Counter::ProcessPauses);
--- a/src/host/peertask.h
+++ b/src/host/peertask.h
@@ -13,6 +13,7 @@
 #include "taskthread.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <memory>
 
@@ -42,6 +43,13 @@
     void onFrame(std::string_view bytes);
     void onAccept(evutil_socket_t socket);
     void onLinkEnd(const HostAddress &host, ConnectionEnd end);
+    /** Probes the outgoing links, and closes those that fell silent. */
+    void onProbeTimer();
+    /** @return when a link counts as silent; TimePoint::max() if its host is not known to answer probes */
+    TimePoint silentAt(const HostAddress &host, const FrameConnection &link) const;
+    void closeSilentLinks(TimePoint now);
+    /** Arms the timer for the next probes, or for the next link that may count as silent. */
+    void armProbeTimer();
     void onPaused(Incarnation incarnation);
     /** @return the number of bytes queued; 0 if the send queue of the link is full */
     std::size_t sendFrame(const HostAddress &host, const PeerFrame &frame);
@@ -70,7 +78,10 @@
     std::uint64_t nextIncomingKey_ = 1;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<FrameConnection>> incomingLinks_; ///< used to receive
     absl::flat_hash_map<HostAddress, std::unique_ptr<FrameConnection>> outgoingLinks_; ///< used to send
+    absl::flat_hash_set<HostAddress> probedHosts_; ///< hosts that have answered a probe; earlier versions answer none
+    TimePoint nextProbe_;
     LoopTimer timer_;
+    LoopTimer probeTimer_;
     Mailbox<PeerTaskMessage> mailbox_;
     TaskThread thread_;
 };
--- a/src/link/frameconnection.cpp
+++ b/src/link/frameconnection.cpp
@@ -29,6 +29,7 @@
     : limits_(limits)
     , buffer_(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
     , connected_(socket >= 0)
+    , accepted_(socket >= 0)
     , handlers_(std::make_shared<Handlers>(std::move(handlers)))
 {
     bufferevent_setcb(buffer_, &FrameConnection::onReadable, nullptr, &FrameConnection::onEvent, this);
@@ -74,6 +75,30 @@
     return true;
 }
 
+void FrameConnection::probe(TimePoint now)
+{
+    /** Of the slowest link between balancers: 10 Mbit/s. */
+    constexpr std::int64_t bytesPerMillisecond = 1250;
+    const std::uint32_t empty = 0;
+    evbuffer *output = bufferevent_get_output(buffer_);
+    queueTime_ = Milliseconds(static_cast<std::int64_t>(evbuffer_get_length(output)) / bytesPerMillisecond);
+    evbuffer_add(output, &empty, PrefixLength);
+    addedSinceMark_ += PrefixLength;
+    ++probesSent_;
+    probedAt_ = probedAt_.value_or(now);
+}
+
+void FrameConnection::onEmptyFrame()
+{
+    if (accepted_) {
+        const std::uint32_t empty = 0;
+        evbuffer_add(bufferevent_get_output(buffer_), &empty, PrefixLength);
+        return;
+    }
+    ++answers_;
+    probedAt_ = answers_ < probesSent_ ? std::optional(std::chrono::steady_clock::now()) : std::nullopt;
+}
+
 bool FrameConnection::hasWrittenSinceMark() const
 {
     return evbuffer_get_length(bufferevent_get_output(buffer_)) < addedSinceMark_;
@@ -119,6 +144,10 @@
             return;
         }
         evbuffer_drain(input, PrefixLength);
+        if (length == 0 && limits_.probes) {
+            onEmptyFrame();
+            continue;
+        }
         std::string frame(length, '\0');
         evbuffer_remove(input, frame.data(), length);
         if (const auto handlers = alive.lock()) {
--- a/src/link/frameconnection.h
+++ b/src/link/frameconnection.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace poplarroad
@@ -40,6 +41,7 @@
     std::size_t maxFrameBytes = MaxFrame;
     std::size_t maxQueuedBytes = 4 * MaxFrame; ///< bytes in the output buffer that are not yet written to the socket
     Milliseconds connectTimeout{ 1000 };
+    bool probes = false; ///< empty frames are probes and their answers, see FrameConnection::probe()
 };
 
 /**
@@ -64,6 +66,25 @@
 
     /** @return false, without sending the frame, if it is too long or the output buffer is full */
     bool send(std::string_view frame);
+    /**
+     * Asks the peer for an answer, which shows that the connection still works: it can fall silent without an end.
+     *
+     * Only with FrameLimits::probes. The side that accepted the connection answers each probe, the other one sends them.
+     */
+    void probe(TimePoint now);
+    /**
+     * @param timeout time for an answer, besides that for the bytes that were queued before the probe
+     * @return when the connection counts as silent; TimePoint::max() if no answer is due or it is not yet established
+     */
+    TimePoint silentAt(Milliseconds timeout) const
+    {
+        return probedAt_ && connected_ ? *probedAt_ + timeout + queueTime_ : TimePoint::max();
+    }
+    /** @return whether the peer has answered a probe on this connection */
+    bool hasAnsweredProbe() const
+    {
+        return answers_ > 0;
+    }
     /** @return whether at least one byte that was sent after the last markWritePosition() was written to the socket */
     bool hasWrittenSinceMark() const;
     /** Marks the end of the output so far as the start for hasWrittenSinceMark(). */
@@ -80,11 +101,17 @@
     static void onReadable(bufferevent *, void *self);
     static void onEvent(bufferevent *, short events, void *self);
     void readFrames();
+    void onEmptyFrame();
     void end(ConnectionEnd reason);
 
     FrameLimits limits_;
     bufferevent *buffer_;
     bool connected_;
+    bool accepted_;
+    std::uint64_t probesSent_ = 0;
+    std::uint64_t answers_ = 0;
+    std::optional<TimePoint> probedAt_; ///< of the oldest probe without an answer, or the last answer since
+    Milliseconds queueTime_{ 0 }; ///< for the bytes before the last probe, on a slow link
     std::size_t addedSinceMark_ = 0;
     std::shared_ptr<Handlers> handlers_; ///< shared with running calls, which may destroy the connection
 };
