Send the whole list once the store has confirmed it, also after readiness

A balancer that becomes ready without a confirmation, as in an outage of the store, kept refusing its whole list to balancers that are far behind, also after the store confirmed the list while it followed: each of them then read the list from the store itself.

Test: directory_tests "a list that the store confirmed after the balancer became ready is sent as the complete one, not before" fails without the change (1 assertion).

--- a/src/service/directorysync.h
+++ b/src/service/directorysync.h
@@ -201,6 +201,11 @@
         return targets_.revision().value != 0;
     }
     DirectoryState state() const;
+    /** @return whether a peer or the store has confirmed the target list, also after this balancer became ready */
+    bool isListConfirmed() const
+    {
+        return confirmed_ || watcherOf(DirectoryPart::Targets).currentAt().has_value();
+    }
     /** @return whether a revision is of the era of this balancer's list, so that the two can be compared */
     bool isOfOwnEra(Revision revision) const
     {
--- a/src/service/directorysyncpeers.cpp
+++ b/src/service/directorysyncpeers.cpp
@@ -272,7 +272,7 @@
     // While changes are delayed, balancers still use targets that leave; complete lists must not delay changes.
     const bool isShort = known.servicesOnly || targets_.hasChangesSince(known.targets);
     const bool receiverHasList = known.targets.value != 0;
-    if (!isShort && (targets_.isMixed() || (receiverHasList && !confirmed_))) {
+    if (!isShort && (targets_.isMixed() || (receiverHasList && !isListConfirmed()))) {
         // A mixed list is the list of no revision, and one that nobody confirmed must not replace another.
         return;
     }
--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -460,6 +460,33 @@
     }
 }
 
+// Guards against a follower that sends nobody its list, so that each balancer far behind reads the store itself.
+TEST_CASE("a list that the store confirmed after the balancer became ready is sent as the complete one, not before")
+{
+    StartingBalancer balancer;
+    balancer.answer(DirectoryPart::Services, servicesAt(9), at(4));
+    DirectoryResult list = answerAt(9);
+    list.complete = true;
+    list.targets = { present(1, 3) };
+    balancer.answer(DirectoryPart::Targets, list, at(8));
+    balancer.runUntil(at(1500));
+    REQUIRE(balancer.sync.ready());
+    REQUIRE_FALSE(balancer.all<DirectoryReady>().front().confirmed);
+    const DirectoryRequest behind{ 3, Revision{ 5 } };
+    balancer.actions.clear();
+    balancer.sync.onMessage(highAddress, ZoneId{}, behind, at(1510), balancer.actions);
+    CHECK(balancer.sent<DirectoryContent>().empty());
+    balancer.runUntil(at(2500));
+    REQUIRE(balancer.sync.follows());
+    list.revision = Revision{ 20 };
+    balancer.answer(DirectoryPart::Targets, list, at(2510));
+    balancer.actions.clear();
+    balancer.sync.onMessage(highAddress, ZoneId{}, behind, at(2600), balancer.actions);
+    const auto content = balancer.sent<DirectoryContent>();
+    REQUIRE(content.size() == 1);
+    CHECK(content.front().targets.complete);
+}
+
 TEST_CASE("a truncated list removes no target and does not advance the revision, nor do the changes after it")
 {
     DirectorySync sync = readySync();
