--- a/src/service/directorysyncpeers.cpp
+++ b/src/service/directorysyncpeers.cpp
@@ -175,7 +175,7 @@
     bool changed = content.services && applyServices(content.services, actions);
     // Ignores changes that leave a gap after the known list; at the next beacon this balancer requests all of them.
     const bool applies = content.targets.complete
-        ? content.targets.revision != before.targets || comparison_.isMending()
+        ? content.targets.revision != before.targets || comparison_.isRepairing()
         : before.targets.value != 0 && content.targetsAfter <= before.targets;
     // A peer of an earlier era neither replaces nor confirms the list.
     if (!content.targets.complete && eraOf(content.targets.revision) > eraOf(before.targets)) {
--- a/src/service/listcomparison.h
+++ b/src/service/listcomparison.h
@@ -23,7 +23,7 @@
     static constexpr Milliseconds ToleratedTime{ 900 };
     /** Delay of the second request. It allows the follower to read the list from the store, and doubles each time. */
     static constexpr Milliseconds FirstRetryDelay{ 500 };
-    /** Keeps the cost low if a difference cannot be mended. */
+    /** Keeps the cost low if a difference cannot be repaired. */
     static constexpr Milliseconds MaxRetryDelay{ 60'000 };
 
     /**
@@ -34,7 +34,7 @@
      */
     bool onBeacon(bool equal, TimePoint now);
     /** @return whether the follower was asked for its list because of a difference that still lasts */
-    bool isMending() const
+    bool isRepairing() const
     {
         return asked_;
     }
--- a/tests/directory_tests.cpp
+++ b/tests/directory_tests.cpp
@@ -191,6 +191,17 @@
     return answer;
 }
 
+/** Answers the reads at the start as of revision 9. @return the list of targets, with one entry */
+DirectoryResult readAtStart(StartingBalancer &balancer)
+{
+    balancer.answer(DirectoryPart::Services, servicesAt(9), at(4));
+    DirectoryResult list = answerAt(9);
+    list.complete = true;
+    list.targets = { present(1, 3) };
+    balancer.answer(DirectoryPart::Targets, list, at(8));
+    return list;
+}
+
 /** What a balancer does when it hears a beacon. */
 struct Reaction
 {
@@ -429,11 +440,7 @@
 TEST_CASE("a list that was read at the start is confirmed neither by older content nor by a different list")
 {
     StartingBalancer balancer;
-    balancer.answer(DirectoryPart::Services, servicesAt(9), at(4));
-    DirectoryResult list = answerAt(9);
-    list.complete = true;
-    list.targets = { present(1, 3) };
-    balancer.answer(DirectoryPart::Targets, list, at(8));
+    readAtStart(balancer);
     DirectoryContent older;
     older.targets = changes(7, {});
     older.targetsAfter = Revision{ 9 };
@@ -464,11 +471,7 @@
 TEST_CASE("a list that the store confirmed after the balancer became ready is sent as the complete one, not before")
 {
     StartingBalancer balancer;
-    balancer.answer(DirectoryPart::Services, servicesAt(9), at(4));
-    DirectoryResult list = answerAt(9);
-    list.complete = true;
-    list.targets = { present(1, 3) };
-    balancer.answer(DirectoryPart::Targets, list, at(8));
+    DirectoryResult list = readAtStart(balancer);
     balancer.runUntil(at(1500));
     REQUIRE(balancer.sync.ready());
     REQUIRE_FALSE(balancer.all<DirectoryReady>().front().confirmed);
--- a/tests/listcomparison_tests.cpp
+++ b/tests/listcomparison_tests.cpp
@@ -32,16 +32,16 @@
 
 } // namespace
 
-TEST_CASE("only a difference that lasts is mended, and the requests become rare if it stays")
+TEST_CASE("only a difference that lasts is repaired, and the requests become rare if it stays")
 {
     ListComparison comparison;
     CHECK_FALSE(comparison.onBeacon(false, at(0)));
     CHECK_FALSE(comparison.onBeacon(true, at(300)));
     CHECK_FALSE(comparison.onBeacon(false, at(600)));
     CHECK_FALSE(comparison.onBeacon(false, at(1200)));
-    CHECK_FALSE(comparison.isMending());
+    CHECK_FALSE(comparison.isRepairing());
     CHECK(comparison.onBeacon(false, at(1500)));
-    CHECK(comparison.isMending());
+    CHECK(comparison.isRepairing());
     CHECK_FALSE(comparison.onBeacon(false, at(1800)));
     CHECK(comparison.onBeacon(false, at(2100)));
     int requests = 0;
@@ -50,7 +50,7 @@
     }
     CHECK(requests <= 16);
     CHECK_FALSE(comparison.onBeacon(true, at(600'000)));
-    CHECK_FALSE(comparison.isMending());
+    CHECK_FALSE(comparison.isRepairing());
 }
 
 TEST_CASE("a follower checks its list once for many balancers that differ, and ever less often if it proves right")
